--- /dev/null
+++ b/wellhitch/__init__.py
@@ -0,0 +1,1 @@
+"""wellhitch: routing and admission for a private voice network."""
--- /dev/null
+++ b/wellhitch/adapter/codec.py
@@ -0,0 +1,195 @@
+"""The wire's messages, read into events and written from actions. Nanoseconds stay on this side."""
+
+from collections.abc import Callable
+from typing import Any
+
+from wellhitch.interface import actions, events, facts
+
+NS_PER_US = 1000
+ENDINGS = {
+    "Ok": events.Ending.ENDED_WELL,
+    "Failed": events.Ending.FAULT,
+    "QueueFull": events.Ending.FULL,
+    "TimedOut": events.Ending.TIMED_OUT,
+    "ConnectError": events.Ending.UNREACHABLE,
+    "ResetByPeer": events.Ending.RESET,
+    "Canceled": events.Ending.CANCELLED,
+    "Ignored": events.Ending.NOT_SENT,
+}
+BLAMES = {
+    1: events.Blame.NO_CIRCUIT,
+    2: events.Blame.TURNED_BACK,
+    3: events.Blame.PROCESSOR_FULL,
+    4: events.Blame.LINES_BUSY,
+}
+NOTE_WAIT = 16
+MARK_REDIALLED = 2
+MARK_TRANSIT = 8
+STANDINGS = {
+    "Ready": events.Standing.READY,
+    "Terminating": events.Standing.DRAINING,
+    "Gone": events.Standing.GONE,
+}
+LISTS = {
+    "Partial": events.Heard.CHANGES,
+    "Complete": events.Heard.WHOLE,
+    "Persisted": events.Heard.REMEMBERED,
+    "Error": events.Heard.FAILED,
+}
+
+
+def micros(value: Any) -> int:
+    """Whole microseconds of a wire time; an absent one is 0."""
+    return int(value or 0) // NS_PER_US
+
+
+def nanos(value: int) -> int:
+    """Wire time of whole microseconds."""
+    return value * NS_PER_US
+
+
+def read_report(values: Any) -> events.Report:
+    """Load report; a value below 0 was not told, and keys not known are skipped."""
+    if not isinstance(values, dict):
+        return events.Report()
+
+    def told(key: str) -> float | None:
+        value = values.get(key)
+        return None if value is None or value < 0 else float(value)
+
+    free, size, wait = told("spare"), told("total"), told("lat_ms")
+    return events.Report(
+        free=None if free is None else int(free),
+        size=None if size is None else int(size),
+        utilisation=told("busy"),
+        wait=None if wait is None else int(wait * 1000),
+        takes_per_s=told("allowed"),
+        hold_back=told("cut_by"),
+    )
+
+
+def read_blame(cause: Any) -> tuple[events.Blame, int]:
+    """Reason of an ending and the wait it names, in microseconds; note 18 is the destination's processor."""
+    base, named = int(cause or 0) % NOTE_WAIT, int(cause or 0) // NOTE_WAIT
+    if base == 2 and named:
+        return events.Blame.FAR_PROCESSOR_FULL, 0
+    return BLAMES.get(base, events.Blame.NONE), named * 1000
+
+
+def read_opened(seed: int, told: dict[str, Any]) -> events.Opened:
+    """First message of an instance, split into the small records of `interface.facts`."""
+    family, limits, rules = (told.get(name) or {} for name in ("family_info", "limits", "rules"))
+    widths, holds = family.get("circuits_by_class") or [], family.get("class_hold_ns") or []
+    pools = family.get("skilled_pools") or []
+    use_cases = []
+    for at, row in enumerate(told.get("classes") or []):
+        semantics = row.get("semantics", "retryable")
+        use_cases.append(
+            facts.UseCase(
+                name=row["name"],
+                payoff=float(row.get("importance", 1.0)),
+                late_share=float(row.get("late_value", 0.0)),
+                agreed_time=micros(row.get("objective_ns")),
+                outer_limit=micros(row.get("deadline_ns")),
+                width=int(widths[at]) if at < len(widths) else 1,
+                hold=micros(holds[at]) if at < len(holds) else 0,
+                pools=tuple(pools[at]) if at < len(pools) and pools[at] else (),
+                repeatable=semantics == "retryable" or (semantics == "dedup" and row.get("group") == "all"),
+                repeat_within=micros(row.get("memory_span_ns")) if semantics == "dedup" else 0,
+            )
+        )
+    meshed = family.get("topology", "meshed") == "meshed"
+    return events.Opened(
+        seed=int(seed or 0),
+        use_cases=tuple(use_cases),
+        place=facts.Place(
+            number=int(family.get("self_no", -1)) if meshed else None,
+            peers=max(0, int(told.get("balancers", 1)) - 1),
+            must_ask=told.get("discovery") == "ask",
+            ask_within=micros(rules.get("ask_within_ns")),
+        ),
+        permissions=facts.Permissions(
+            most_dials=int(limits.get("most_tries", 1)),
+            may_cancel=bool(limits.get("may_cancel")),
+            may_probe=bool(limits.get("probes")),
+            may_tell_peers=bool(limits.get("peer_messages")),
+            longest_retry_after=micros(limits.get("max_retry_after_ns")) if limits.get("retry_after") else 0,
+            marks_redials=bool((told.get("callers") or {}).get("marks_retry")),
+        ),
+        release=facts.ReleaseRule(
+            release_wait=micros(family.get("clear_wait_ns")), drain_grace=micros(rules.get("drain_grace_ns"))
+        ),
+        cold=facts.ColdRule(
+            start_share=float(rules.get("cold_from", 1.0)),
+            warm_after=micros(rules.get("cold_ns")),
+            multiple=float(rules.get("fall_multiple", 1.0)),
+            window=micros(rules.get("tip_after_ns")),
+        ),
+    )
+
+
+def read_entry(row: list[Any]) -> events.Entry:
+    """One line of a list."""
+    office, _zone, _kind, number, standing, _hint, started = (*row, None, None, None)[:7]
+    return events.Entry(office, int(number), STANDINGS[standing], micros(started) if started else None)
+
+
+def read_arrived(m: list[Any]) -> events.Arrived:
+    """A dialogue handed over."""
+    marks, advised = int(m[11] or 0), m[6]
+    return events.Arrived(
+        dialogue=m[2],
+        use_case=m[7],
+        destination=int(m[10] if m[10] is not None else -1),
+        left=micros(m[8]),
+        width=int(m[4] or 1),
+        advised=None if advised is None or advised < 0 or marks & MARK_TRANSIT else int(advised),
+        redialled=bool(marks & MARK_REDIALLED),
+        transit=bool(marks & MARK_TRANSIT),
+    )
+
+
+def read_ended(m: list[Any]) -> events.DialEnded:
+    """The ending of a dial."""
+    blame, wait = read_blame(m[8])
+    ending = ENDINGS.get(m[5], events.Ending.FAULT)
+    return events.DialEnded(m[2], m[3], m[4], ending, blame, wait, bool(m[7]), read_report(m[9]))
+
+
+def read_reported(m: list[Any]) -> events.Reported:
+    """A trunk group's change, or a probe's answer."""
+    return events.Reported(m[2], bool(m[4]), m[3] == "Ok", read_report(m[5]))
+
+
+READERS: dict[str, Callable[[list[Any]], events.Event]] = {
+    "Ingress": read_arrived,
+    "Started": lambda m: events.Stood(m[2], m[3], micros(m[5])),
+    "HealthResult": read_reported,
+    "Verdict": read_ended,
+    "Left": lambda m: events.WentAway(m[2]),
+    "TickDue": lambda m: events.Rang(m[2]),
+    "Heard": lambda m: events.PeerSaid(m[2], bytes.fromhex(m[3] or "")),
+}
+LENGTHS = {"Ingress": 12, "Started": 6, "HealthResult": 6, "Left": 3, "TickDue": 3, "Heard": 4, "Verdict": 10}
+
+
+def write_action(who: int, action: actions.Action) -> list[Any]:
+    """One action as the wire wants it."""
+    match action:
+        case actions.Send(dialogue, office, within):
+            return ["Assign", who, dialogue, office, nanos(within)]
+        case actions.Cancel(dialogue, dial):
+            return ["AbortAttempt", who, dialogue, dial]
+        case actions.PushBack(dialogue, come_back):
+            return ["Refuse", who, dialogue, nanos(come_back)]
+        case actions.Forfeit(dialogue):
+            return ["Fail", who, dialogue]
+        case actions.Wake(after, token):
+            return ["Arm", who, nanos(after), token]
+        case actions.Probe(office):
+            return ["AskLoad", who, office]
+        case actions.TellPeers(text):
+            return ["Signal", who, -1, text.hex()]
+        case actions.Follow():
+            return ["StreamChanges", who, True]
+    raise TypeError(f"no wire form for {action!r}")
--- /dev/null
+++ b/wellhitch/interface/__init__.py
@@ -0,0 +1,1 @@
+"""Types shared by the decisions and whatever feeds them: facts, events, actions and state records."""
--- /dev/null
+++ b/wellhitch/interface/actions.py
@@ -0,0 +1,65 @@
+"""What the decisions may ask for. Ids leave through here only. Times are whole microseconds from now."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Set the dialogue up by this office; the dial is abandoned after `within`."""
+
+    dialogue: int
+    office: str
+    within: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Call one dial off."""
+
+    dialogue: int
+    dial: int
+
+
+@dataclass(frozen=True, slots=True)
+class PushBack:
+    """Final answer: not taken; `come_back` of 0 names no time."""
+
+    dialogue: int
+    come_back: int
+
+
+@dataclass(frozen=True, slots=True)
+class Forfeit:
+    """Final answer: given up."""
+
+    dialogue: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Ring after `after`."""
+
+    after: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask an office for its report."""
+
+    office: str
+
+
+@dataclass(frozen=True, slots=True)
+class TellPeers:
+    """Send every other call server a short message."""
+
+    text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Ask discovery for changes from now on."""
+
+
+Action = Send | Cancel | PushBack | Forfeit | Wake | Probe | TellPeers | Follow
--- /dev/null
+++ b/wellhitch/interface/events.py
@@ -0,0 +1,161 @@
+"""What can happen to a call server. Ids appear here and nowhere further in."""
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from wellhitch.interface.facts import ColdRule, Permissions, Place, ReleaseRule, UseCase
+
+
+class Ending(Enum):
+    """How a dial ended."""
+
+    ENDED_WELL = auto()
+    FAULT = auto()
+    FULL = auto()
+    TIMED_OUT = auto()
+    UNREACHABLE = auto()
+    RESET = auto()
+    CANCELLED = auto()
+    NOT_SENT = auto()
+
+
+class Blame(Enum):
+    """The reason that came with an ending."""
+
+    NONE = auto()
+    NO_CIRCUIT = auto()
+    TURNED_BACK = auto()
+    FAR_PROCESSOR_FULL = auto()
+    PROCESSOR_FULL = auto()
+    LINES_BUSY = auto()
+
+
+class Standing(Enum):
+    """What the list says of an office."""
+
+    READY = auto()
+    DRAINING = auto()
+    GONE = auto()
+
+
+class Heard(Enum):
+    """Which kind of list came."""
+
+    CHANGES = auto()
+    WHOLE = auto()
+    REMEMBERED = auto()
+    FAILED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Free circuits and size of the trunk group, then the processor's figures; None where not told."""
+
+    free: int | None = None
+    size: int | None = None
+    utilisation: float | None = None
+    wait: int | None = None
+    takes_per_s: float | None = None
+    hold_back: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of the list of offices; `started` is None for long ago."""
+
+    office: str
+    number: int
+    standing: Standing
+    started: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The call server has started and knows nothing else yet."""
+
+    seed: int
+    use_cases: tuple[UseCase, ...]
+    place: Place
+    permissions: Permissions
+    release: ReleaseRule
+    cold: ColdRule
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """Discovery spoke."""
+
+    heard: Heard
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """A dialogue was handed over; it is owed one final answer within `left`."""
+
+    dialogue: int
+    use_case: str
+    destination: int
+    left: int
+    width: int
+    advised: int | None
+    redialled: bool
+    transit: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Stood:
+    """A dial was answered: the dialogue stands."""
+
+    dialogue: int
+    dial: int
+    took: int
+
+
+@dataclass(frozen=True, slots=True)
+class DialEnded:
+    """A dial came to its end; `over` tells that the dialogue needs no answer any more."""
+
+    dialogue: int
+    dial: int
+    office: str
+    ending: Ending
+    blame: Blame
+    wait: int
+    over: bool
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    """A trunk group changed, or a probe came back."""
+
+    office: str
+    asked: bool
+    answered: bool
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class WentAway:
+    """The caller left; the dialogue is over."""
+
+    dialogue: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rang:
+    """A timer is due."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSaid:
+    """Another call server sent a message."""
+
+    peer: int
+    text: bytes = field(default=b"")
+
+
+Event = Opened | Listed | Arrived | Stood | DialEnded | Reported | WentAway | Rang | PeerSaid
--- /dev/null
+++ b/wellhitch/interface/facts.py
@@ -0,0 +1,59 @@
+"""What a call server is told once, at start, in small records. Times are whole microseconds."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class UseCase:
+    """One kind of dialogue; the agreed time and the outer limit count from its first try."""
+
+    name: str
+    payoff: float
+    late_share: float
+    agreed_time: int
+    outer_limit: int
+    width: int
+    hold: int
+    pools: tuple[int, ...]
+    repeatable: bool
+    repeat_within: int
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where this call server stands; `number` is None where the offices are pools."""
+
+    number: int | None
+    peers: int
+    must_ask: bool
+    ask_within: int
+
+
+@dataclass(frozen=True, slots=True)
+class Permissions:
+    """What this deployment lets a call server do."""
+
+    most_dials: int
+    may_cancel: bool
+    may_probe: bool
+    may_tell_peers: bool
+    longest_retry_after: int
+    marks_redials: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseRule:
+    """Waits that the rules on release and on draining state."""
+
+    release_wait: int
+    drain_grace: int
+
+
+@dataclass(frozen=True, slots=True)
+class ColdRule:
+    """How a fresh processor starts and what makes it fall over."""
+
+    start_share: float
+    warm_after: int
+    multiple: float
+    window: int
--- /dev/null
+++ b/wellhitch/interface/state.py
@@ -0,0 +1,83 @@
+"""State records, grouped by how long they live: a dial, a dialogue, an office, the call server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from wellhitch.interface.events import Standing
+from wellhitch.interface.facts import ColdRule, Permissions, Place, ReleaseRule, UseCase
+
+
+@dataclass(slots=True, eq=False)
+class Dial:
+    """One dial, from the send to its ending."""
+
+    dialogue: Dialogue
+    office: Office
+    sent: int
+    direct: bool
+
+
+@dataclass(slots=True, eq=False)
+class Dialogue:
+    """One dialogue, from hand-over to its final answer or its end."""
+
+    id: int
+    use_case: UseCase
+    destination: int
+    width: int
+    arrived: int
+    give_up: int
+    advised: int | None
+    redialled: bool
+    transit: bool
+    chance: float
+    dials: list[Dial] = field(default_factory=list)
+    tried: list[Office] = field(default_factory=list)
+    out: Dial | None = None
+    may_have_run: int | None = None
+    not_before: int = 0
+    stands: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Office:
+    """One office as this call server knows it."""
+
+    id: str
+    number: int
+    standing: Standing
+    started: int | None
+    free: int = 0
+    size: int | None = None
+    price: float = 0.0
+    delays: list[int] = field(default_factory=list)
+    fulls: int = 0
+    unanswered: list[Dial] = field(default_factory=list)
+    utilisation: float | None = None
+    wait: int | None = None
+    sent: int = 0
+    usual: float = 0.0
+    budget: float = 0.0
+    budget_at: int = 0
+    no_way_on: dict[int, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """All that one call server knows, from its start until it is stopped."""
+
+    chance: int = 0
+    use_cases: dict[str, UseCase] = field(default_factory=dict)
+    place: Place = Place(None, 0, False, 0)
+    permissions: Permissions = Permissions(0, False, False, False, 0, False)
+    release: ReleaseRule = ReleaseRule(0, 0)
+    cold: ColdRule = ColdRule(0.0, 0, 0.0, 0)
+    offices: dict[str, Office] = field(default_factory=dict)
+    by_number: dict[int, Office] = field(default_factory=dict)
+    dialogues: dict[int, Dialogue] = field(default_factory=dict)
+    own_price: float = 0.0
+    own_fulls: int = 0
+    refollow: bool = False
+    unit: float = 0.0
+    top: float = 0.0
--- /dev/null
+++ b/wellhitch/rules.py
@@ -0,0 +1,383 @@
+"""Every decision of a call server: which dialogue goes, by which route, when it is dialled again or pushed back.
+
+Callers hold one `Exchange` (a blank record at start) for each call server and pass what happens, in order and with
+the clock in whole microseconds, to `decide`, the only entry point. It returns what is to be done, in order. Events,
+actions, start facts and state records are types of `wellhitch.interface`. Ids are turned into objects here at the
+door and nowhere further in. docs/design.md tells what is ordinary path and what is an exception to it.
+"""
+
+from statistics import median
+
+from wellhitch.interface.actions import Action, Follow, Forfeit, PushBack, Send, Wake
+from wellhitch.interface.events import (
+    Arrived,
+    Blame,
+    DialEnded,
+    Ending,
+    Entry,
+    Event,
+    Heard,
+    Listed,
+    Opened,
+    Rang,
+    Report,
+    Reported,
+    Standing,
+    Stood,
+    WentAway,
+)
+from wellhitch.interface.facts import ColdRule, Place
+from wellhitch.interface.state import Dial, Dialogue, Exchange, Office
+
+SECOND = 1_000_000
+INTERVAL = SECOND  # the design's tau; the paper gives no figure, one second is the design page's start
+TICK = 0  # token of the interval's timer; a dialogue's timer is its id + 1
+
+
+def decide(x: Exchange, event: Event, now: int) -> list[Action]:
+    """Take what happened, return what to do."""
+    match event:
+        case Opened():
+            return opened(x, event)
+        case Listed():
+            return listed(x, event, now)
+        case Arrived():
+            return arrived(x, event, now)
+        case Stood():
+            stood(x, event)
+        case DialEnded():
+            return dial_ended(x, event, now)
+        case Reported():
+            if event.office in x.offices and event.answered:
+                take_report(x.offices[event.office], event.report, now)
+        case WentAway():
+            x.dialogues.pop(event.dialogue, None)
+        case Rang(token) if token == TICK:
+            return interval_over(x, now)
+        case Rang(token):
+            dialogue = x.dialogues.get(token - 1)
+            if dialogue and not dialogue.out and not dialogue.stands:
+                return place_dialogue(x, dialogue, now)
+    return []
+
+
+# ---- start and list ----
+
+
+def opened(x: Exchange, event: Opened) -> list[Action]:
+    """Remember the facts and start the interval."""
+    x.chance = event.seed
+    x.use_cases = {use.name: use for use in event.use_cases}
+    x.place, x.permissions, x.release, x.cold = event.place, event.permissions, event.release, event.cold
+    x.unit = min((use.payoff for use in event.use_cases if use.payoff > 0), default=1.0)
+    x.top = max((use.payoff for use in event.use_cases), default=1.0)
+    return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
+
+
+def listed(x: Exchange, event: Listed, now: int) -> list[Action]:
+    """Follow the list. An office missing from a whole list is gone; a new office at a number takes it over."""
+    if event.heard is Heard.FAILED:
+        x.refollow = x.place.must_ask
+        return []
+    for entry in event.entries:
+        take_entry(x, entry, now)
+    if event.heard is not Heard.CHANGES:
+        named = {entry.office for entry in event.entries}
+        for office in x.offices.values():
+            if office.id not in named:
+                office.standing = Standing.GONE
+    x.by_number = {}
+    for office in x.offices.values():
+        if office.standing is Standing.READY:
+            held = x.by_number.get(office.number)
+            if held is None or (office.started or 0) >= (held.started or 0):
+                x.by_number[office.number] = office
+    return []
+
+
+def take_entry(x: Exchange, entry: Entry, now: int) -> None:
+    """One line of the list. A fresh start forgets the price and the silence of the processor before it."""
+    office = x.offices.get(entry.office)
+    if office is None:
+        office = x.offices[entry.office] = Office(entry.office, entry.number, entry.standing, entry.started)
+        before = x.by_number.get(entry.number)
+        if before:
+            office.usual, office.free, office.size = before.usual, before.free, before.size
+    elif entry.started != office.started:
+        office.price, office.unanswered = 0.0, []
+    office.standing, office.started = entry.standing, entry.started
+
+
+def usable(office: Office) -> bool:
+    """Rule 3: nothing new goes to an office that drains or is gone, from the moment this is heard."""
+    return office.standing is Standing.READY
+
+
+# ---- chance ----
+
+
+def draw(x: Exchange) -> float:
+    """Next number in [0, 1): a linear congruential generator (Knuth's MMIX figures), high bits only."""
+    x.chance = (x.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+    return (x.chance >> 32) / (1 << 32)
+
+
+# ---- a dialogue's way ----
+
+
+def arrived(x: Exchange, event: Arrived, now: int) -> list[Action]:
+    """Take a dialogue over and decide on it at once."""
+    use = x.use_cases[event.use_case]
+    dialogue = Dialogue(
+        event.dialogue, use, event.destination, event.width, now, now + event.left, event.advised,
+        event.redialled, event.transit, draw(x),
+    )
+    x.dialogues[event.dialogue] = dialogue
+    return place_dialogue(x, dialogue, now)
+
+
+def payoff_now(dialogue: Dialogue, now: int) -> float:
+    """Payoff if it stood now. SPREAD turns the price into an admitted share, as the paper admits a share."""
+    spread = 0.5  # half the payoff either way: price and admitted share then move together without hunting
+    late = now - dialogue.arrived > dialogue.use_case.agreed_time
+    share = dialogue.use_case.late_share if late else 1.0
+    return dialogue.use_case.payoff * share * (1 + spread * (2 * dialogue.chance - 1))
+
+
+def leg_cost(x: Exchange, dialogue: Dialogue) -> float:
+    """Cost of one leg: a twentieth of the least payoff, so that two legs never outweigh a tandem dialogue."""
+    return x.unit * dialogue.width / 20
+
+
+def room(office: Office, width: int, alternate: bool) -> bool:
+    """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
+    (trunk reservation, exception): one circuit, and one for each 20."""
+    if office.size is None:
+        return True
+    return office.free >= width + (1 + office.size // 20 if alternate else 0)
+
+
+def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
+    """First office of the route with the highest positive net payoff and room; ties go direct."""
+    payoff = payoff_now(dialogue, now) - x.own_price
+    leg = leg_cost(x, dialogue)
+    if x.place.number is None:
+        return best_pool(x, dialogue, payoff, leg)
+    destination = x.by_number.get(dialogue.destination)
+    if destination is None or dialogue.destination == x.place.number:
+        return None
+    payoff -= destination.price
+    if payoff - leg <= 0 or not cold_room(x.cold, destination, now):
+        return None
+    if room(destination, dialogue.width, dialogue.transit):
+        return destination if destination not in dialogue.tried else None
+    if dialogue.transit:
+        return None
+    best, best_rank = None, (0.0, False, 0)
+    for office in x.by_number.values():
+        if office is destination or office.number == x.place.number or office in dialogue.tried:
+            continue
+        if not room(office, dialogue.width, True) or not cold_room(x.cold, office, now):
+            continue
+        if office.no_way_on.get(dialogue.destination, 0) > now:
+            continue
+        rank = (payoff - office.price - 2 * leg, office.number == dialogue.advised, office.free)
+        if rank > best_rank and rank[0] > 0:
+            best, best_rank = office, rank
+    return best
+
+
+def best_pool(x: Exchange, dialogue: Dialogue, payoff: float, leg: float) -> Office | None:
+    """Pools in place of exchanges: the first choice costs one leg, another of the use case's pools two."""
+    best, best_rank = None, (0.0, False, 0)
+    for office in x.by_number.values():
+        first = office.number == dialogue.destination
+        if not first and office.number not in dialogue.use_case.pools:
+            continue
+        if office in dialogue.tried or not room(office, dialogue.width, False):
+            continue
+        rank = (payoff - office.price - (leg if first else 2 * leg), first, office.free)
+        if rank > best_rank and rank[0] > 0:
+            best, best_rank = office, rank
+    return best
+
+
+def place_dialogue(x: Exchange, dialogue: Dialogue, now: int) -> list[Action]:
+    """Dial the best route, or answer at once. Rule 2: called only while no dial of the dialogue is out."""
+    if now < dialogue.not_before:  # rule 5: the release wait of its last dial is not over
+        return [Wake(dialogue.not_before - now, dialogue.id + 1)]
+    if len(dialogue.dials) >= x.permissions.most_dials or now >= dialogue.give_up or not may_repeat(dialogue, now):
+        return give_up(x, dialogue, now)
+    office = best_route(x, dialogue, now)
+    if office is None:
+        return give_up(x, dialogue, now)
+    direct = office.number == dialogue.destination
+    dial = Dial(dialogue, office, now, direct)
+    dialogue.dials.append(dial)
+    dialogue.out = dial
+    office.free -= dialogue.width
+    for crossed in {office.number, dialogue.destination}:
+        if crossed in x.by_number:
+            x.by_number[crossed].sent += 1
+            x.by_number[crossed].budget -= 1
+    if direct:
+        office.unanswered.append(dial)
+    return [Send(dialogue.id, office.id, dialogue.give_up - now)]
+
+
+def may_repeat(dialogue: Dialogue, now: int) -> bool:
+    """Whether a use case that must not run twice may be dialled again."""
+    use = dialogue.use_case
+    if dialogue.may_have_run is None or (use.repeatable and not use.repeat_within):
+        return True
+    return use.repeatable and now - dialogue.may_have_run < use.repeat_within
+
+
+def give_up(x: Exchange, dialogue: Dialogue, now: int) -> list[Action]:
+    """Rule 1: the one final answer, at once; the dialogue is forgotten with it, so nothing can follow."""
+    x.dialogues.pop(dialogue.id, None)
+    if now >= dialogue.give_up or (dialogue.may_have_run is not None and not dialogue.use_case.repeatable):
+        return [Forfeit(dialogue.id)]
+    return [PushBack(dialogue.id, 0)]
+
+
+def stood(x: Exchange, event: Stood) -> None:
+    """A dial was answered; its delay is a load sign of the processors crossed."""
+    dialogue = x.dialogues.get(event.dialogue)
+    if not dialogue or event.dial >= len(dialogue.dials):
+        return
+    dial = dialogue.dials[event.dial]
+    dialogue.stands = True
+    if dial in dial.office.unanswered:
+        dial.office.unanswered.remove(dial)
+        dial.office.delays.append(event.took)
+
+
+def dial_ended(x: Exchange, event: DialEnded, now: int) -> list[Action]:
+    """Put the blame where it belongs, then dial again where that can still pay."""
+    if event.office in x.offices:
+        take_report(x.offices[event.office], event.report, now)
+    dialogue = x.dialogues.get(event.dialogue)
+    if not dialogue or event.dial >= len(dialogue.dials):
+        return []
+    dial = dialogue.dials[event.dial]
+    office = dial.office
+    if dialogue.out is dial:
+        dialogue.out = None
+    if dial in office.unanswered:
+        office.unanswered.remove(dial)
+        if event.ending is Ending.TIMED_OUT:
+            office.delays.append(now - dial.sent)
+    destination = x.by_number.get(dialogue.destination)
+    if event.ending is Ending.NOT_SENT:
+        x.own_fulls += event.blame is Blame.PROCESSOR_FULL
+    elif event.blame is Blame.PROCESSOR_FULL or event.ending is Ending.UNREACHABLE:
+        office.fulls += 1
+    elif event.blame is Blame.FAR_PROCESSOR_FULL and destination:
+        destination.fulls += 1
+    elif event.blame is Blame.TURNED_BACK:
+        office.no_way_on[dialogue.destination] = now + 2 * INTERVAL
+    if event.over:
+        x.dialogues.pop(dialogue.id, None)
+        return []
+    if dialogue.stands:
+        return give_up(x, dialogue, now)
+    if event.ending not in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT) and dialogue.may_have_run is None:
+        dialogue.may_have_run = dial.sent
+    if event.ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED):
+        dialogue.not_before = now + x.release.release_wait
+        if dialogue.not_before >= dialogue.give_up:
+            return give_up(x, dialogue, now)
+    if event.blame in (Blame.LINES_BUSY, Blame.FAR_PROCESSOR_FULL):
+        return give_up(x, dialogue, now)
+    if event.blame is Blame.PROCESSOR_FULL and (dial.direct or event.ending is Ending.NOT_SENT):
+        return give_up(x, dialogue, now)
+    if event.ending not in (Ending.NOT_SENT, Ending.FAULT):
+        dialogue.tried.append(office)
+    return place_dialogue(x, dialogue, now)
+
+
+# ---- prices ----
+
+
+def take_report(office: Office, report: Report, now: int) -> None:
+    """Free circuits count at once; the processor's figures are load signs of this interval."""
+    if report.free is not None and report.size is not None:
+        office.free, office.size = report.free, report.size
+    if report.utilisation is not None:
+        office.utilisation = report.utilisation
+    if report.wait is not None:
+        office.wait = report.wait
+
+
+def interval_over(x: Exchange, now: int) -> list[Action]:
+    """Step every price once and start the next interval."""
+    delays = {office.id: delay_seen(office, now) for office in x.by_number.values()}
+    seen = [delay for delay in delays.values() if delay is not None]
+    own_delay = min(seen) if len(seen) > 1 else None  # what all routes share is the own processor's
+    x.own_price = stepped(x.own_price, load_of(None, None, own_delay, x.own_fulls), x.unit, x.top)
+    x.own_fulls = 0
+    for office in x.by_number.values():
+        delay = delays[office.id]
+        far = None if delay is None else delay - (own_delay or 0)
+        load = load_of(office.utilisation, office.wait, far, office.fulls)
+        office.price = stepped(office.price, load, x.unit, x.top)
+        office.delays, office.fulls, office.utilisation, office.wait = [], 0, None, None
+        if not cold(x.cold, office, now):
+            office.usual += (office.sent * SECOND / INTERVAL - office.usual) / 8  # a mean over some 8 intervals
+        office.sent = 0
+    out: list[Action] = [Wake(INTERVAL, TICK)]
+    if x.refollow:
+        x.refollow = False
+        out.append(Follow())
+    return out
+
+
+BOUND_UTILISATION = 0.9  # the design page's starting bound
+BOUND_DELAY = SECOND  # the design page's starting bound
+
+
+def delay_seen(office: Office, now: int) -> int | None:
+    """Middle set-up delay of the interval. A dial that waits past the bound counts with its age: silence is
+    evidence, and one lost dial among many answered ones moves the middle little."""
+    ages = [now - dial.sent for dial in office.unanswered if now - dial.sent > BOUND_DELAY]
+    return int(median(office.delays + ages)) if office.delays or ages else None
+
+
+def load_of(utilisation: float | None, wait: int | None, delay: int | None, fulls: int) -> float | None:
+    """Load over its bound by the best sign there is, or None without a fresh one; 'full' is over the bound."""
+    if utilisation is not None:
+        load: float | None = utilisation / BOUND_UTILISATION
+    elif wait is not None:
+        load = wait / BOUND_DELAY
+    else:
+        load = None if delay is None else delay / BOUND_DELAY
+    return max(load or 0.0, 1.5) if fulls else load
+
+
+def stepped(price: float, load: float | None, unit: float, top: float) -> float:
+    """One step of a price: up over the bound, down toward nought under it, decay unheard."""
+    if load is None:
+        return price * 0.7 if price > unit / 100 else 0.0
+    return min(max(0.0, price + unit * 0.5 * min(load - 1, 2.0)), 1.5 * top)
+
+
+# ---- cold offices ----
+
+
+def cold(rule: ColdRule, office: Office, now: int) -> bool:
+    """Whether the office's processor started so short a time ago that it may still be cold."""
+    return office.started is not None and now - office.started < rule.warm_after
+
+
+def cold_room(rule: ColdRule, office: Office, now: int) -> bool:
+    """Rule 4: a cold office gets no more from here than its share of what this call server usually sends it."""
+    if not cold(rule, office, now):
+        office.budget, office.budget_at = 1.0, now
+        return True
+    grown = max(0.0, (now - office.started) / rule.warm_after)
+    share = rule.start_share + (1 - rule.start_share) * grown
+    rate = max(office.usual, 0.25) * share
+    office.budget = min(office.budget + rate * (now - office.budget_at) / SECOND, 1.0 + rate)
+    office.budget_at = now
+    return office.budget >= 1.0
