--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -137,11 +137,15 @@
 
 
 def payoff_now(dialogue: Dialogue, now: int) -> float:
-    """Payoff if it stood now. SPREAD turns the price into an admitted share, as the paper admits a share."""
-    spread = 0.5  # half the payoff either way: price and admitted share then move together without hunting
+    """Payoff if it stood now: past the agreed time only the late share is left."""
     late = now - dialogue.arrived > dialogue.use_case.agreed_time
-    share = dialogue.use_case.late_share if late else 1.0
-    return dialogue.use_case.payoff * share * (1 + spread * (2 * dialogue.chance - 1))
+    return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
+
+
+def felt(dialogue: Dialogue, price: float) -> float:
+    """Price as this dialogue feels it: half to one and a half of it, by chance, so that a price near the payoff
+    admits a share, as the paper's programme does, and all-or-nothing swings are spared."""
+    return price * (0.5 + dialogue.chance)
 
 
 def leg_cost(x: Exchange, dialogue: Dialogue) -> float:
@@ -159,14 +163,14 @@
 
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
     """First office of the route with the highest positive net payoff and room; ties go direct."""
-    payoff = payoff_now(dialogue, now) - x.own_price
+    payoff = payoff_now(dialogue, now) - felt(dialogue, x.own_price)
     leg = leg_cost(x, dialogue)
     if x.place.number is None:
         return best_pool(x, dialogue, payoff, leg)
     destination = x.by_number.get(dialogue.destination)
     if destination is None or dialogue.destination == x.place.number:
         return None
-    payoff -= destination.price
+    payoff -= felt(dialogue, destination.price)
     if payoff - leg <= 0 or not cold_room(x.cold, destination, now):
         return None
     if room(destination, dialogue.width, dialogue.transit):
@@ -181,7 +185,7 @@
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
-        rank = (payoff - office.price - 2 * leg, office.number == dialogue.advised, office.free)
+        rank = (payoff - felt(dialogue, office.price) - 2 * leg, office.number == dialogue.advised, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
     return best
@@ -196,7 +200,7 @@
             continue
         if office in dialogue.tried or not room(office, dialogue.width, False):
             continue
-        rank = (payoff - office.price - (leg if first else 2 * leg), first, office.free)
+        rank = (payoff - felt(dialogue, office.price) - (leg if first else 2 * leg), first, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
     return best
