--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -30,7 +30,7 @@
 from wellhitch.interface.state import Dial, Dialogue, Exchange, Office
 
 SECOND = 1_000_000
-INTERVAL = SECOND  # the design's tau; the paper gives no figure, one second is the design page's start
+INTERVAL = SECOND // 4  # the paper gives no figure; a second was too slow
 TICK = 0  # token of the interval's timer; a dialogue's timer is its id + 1
 
 
@@ -338,7 +338,7 @@
 
 
 BOUND_UTILISATION = 0.9  # the design page's starting bound
-BOUND_DELAY = SECOND  # the design page's starting bound
+BOUND_DELAY = SECOND * 2 // 5  # two processors at their bound still leave a usual agreed time its slack
 
 
 def delay_seen(office: Office, now: int) -> int | None:
@@ -362,8 +362,8 @@
 def stepped(price: float, load: float | None, unit: float, top: float) -> float:
     """One step of a price: up over the bound, down toward nought under it, decay unheard."""
     if load is None:
-        return price * 0.7 if price > unit / 100 else 0.0
-    return min(max(0.0, price + unit * 0.5 * min(load - 1, 2.0)), 1.5 * top)
+        return price * 0.9 if price > unit / 100 else 0.0
+    return min(max(0.0, price + unit * 0.2 * min(load - 1, 2.0)), 1.5 * top)
 
 
 # ---- cold offices ----
