Pause after a turned-back tandem 5 s

Cause: dials turned back by tandems were 15 to 30% of all and cost processors work. May hurt where circuits free up quickly again; no sign of it.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -280,7 +280,7 @@
     elif event.blame is Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
     elif event.blame is Blame.TURNED_BACK:
-        office.no_way_on[dialogue.destination] = now + 2 * INTERVAL
+        office.no_way_on[dialogue.destination] = now + 5 * SECOND
     if event.over:
         x.dialogues.pop(dialogue.id, None)
         return []
