--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -150,7 +150,7 @@
 
 def leg_cost(x: Exchange, dialogue: Dialogue) -> float:
     """Cost of one leg: a twentieth of the least payoff, so that two legs never outweigh a tandem dialogue."""
-    return x.unit * dialogue.width / 20
+    return x.unit * dialogue.width / 5
 
 
 def room(office: Office, width: int, alternate: bool) -> bool:
