--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -57,7 +57,6 @@
     utilisation: float | None = None
     wait: int | None = None
     sent: int = 0
-    luck: float = 1.0
     usual: float = 0.0
     budget: float = 0.0
     budget_at: int = 0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -185,8 +185,7 @@
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
-        hoped = payoff_now(dialogue, now) * (1 - office.luck)
-        rank = (payoff - felt(dialogue, office.price) - 2 * leg - hoped, office.number == dialogue.advised, office.free)
+        rank = (payoff - felt(dialogue, office.price) - 2 * leg, office.number == dialogue.advised, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
     return best
@@ -253,8 +252,6 @@
         return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
-    if not dial.direct:
-        dial.office.luck += (1 - dial.office.luck) / 8
     if dial in dial.office.unanswered:
         dial.office.unanswered.remove(dial)
         dial.office.delays.append(event.took)
@@ -284,7 +281,6 @@
         destination.fulls += 1
     elif event.blame is Blame.TURNED_BACK:
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
-        office.luck -= office.luck / 8
     if event.over:
         x.dialogues.pop(dialogue.id, None)
         return []
@@ -334,7 +330,6 @@
         if not cold(x.cold, office, now):
             office.usual += (office.sent * SECOND / INTERVAL - office.usual) / 8  # a mean over some 8 intervals
         office.sent = 0
-        office.luck += (1 - office.luck) / 80
     out: list[Action] = [Wake(INTERVAL, TICK)]
     if x.refollow:
         x.refollow = False
