--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -363,7 +363,9 @@
     """One step of a price: up over the bound, down toward nought under it, decay unheard."""
     if load is None:
         return price * 0.9 if price > unit / 100 else 0.0
-    return min(max(0.0, price + unit * 0.2 * min(load - 1, 2.0)), 1.5 * top)
+    if load > 1:
+        return min(price + unit * 0.4 * min(load - 1, 2.0), 1.5 * top)
+    return max(0.0, price - (unit + price) * 0.2 * (1 - load))
 
 
 # ---- cold offices ----
