A caller who leaves takes his dial off the unanswered ones

Cause: dials of callers who left stayed among the unanswered and counted as ever longer silence, holding prices up. Should also catch any dial whose ending comes after its dialogue is gone.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -51,7 +51,7 @@
             if event.office in x.offices and event.answered:
                 take_report(x.offices[event.office], event.report, now)
         case WentAway():
-            x.dialogues.pop(event.dialogue, None)
+            went_away(x, event)
         case Rang(token) if token == TICK:
             return interval_over(x, now)
         case Rang(token):
@@ -245,6 +245,13 @@
     return [PushBack(dialogue.id, 0)]
 
 
+def went_away(x: Exchange, event: WentAway) -> None:
+    """The caller left: forget the dialogue, and its dial too, whose silence would be a load sign for ever."""
+    dialogue = x.dialogues.pop(event.dialogue, None)
+    if dialogue and dialogue.out in (dialogue.out.office.unanswered if dialogue.out else []):
+        dialogue.out.office.unanswered.remove(dialogue.out)
+
+
 def stood(x: Exchange, event: Stood) -> None:
     """A dial was answered; its delay is a load sign of the processors crossed."""
     dialogue = x.dialogues.get(event.dialogue)
