--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -60,6 +60,7 @@
     usual: float = 0.0
     budget: float = 0.0
     budget_at: int = 0
+    way_on: set[int] = field(default_factory=set)
     no_way_on: dict[int, int] = field(default_factory=dict)
 
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -177,7 +177,7 @@
         return destination if destination not in dialogue.tried else None
     if dialogue.transit:
         return None
-    best, best_rank = None, (0.0, False, 0)
+    best, best_rank = None, (0.0, False, False, 0)
     for office in x.by_number.values():
         if office is destination or office.number == x.place.number or office in dialogue.tried:
             continue
@@ -185,7 +185,9 @@
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
-        rank = (payoff - felt(dialogue, office.price) - 2 * leg, office.number == dialogue.advised, office.free)
+        net = payoff - felt(dialogue, office.price) - 2 * leg
+        proven = dialogue.destination in office.way_on
+        rank = (net, proven, office.number == dialogue.advised, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
     return best
@@ -259,6 +261,8 @@
         return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
+    if not dial.direct:
+        dial.office.way_on.add(dialogue.destination)
     if dial in dial.office.unanswered:
         dial.office.unanswered.remove(dial)
         dial.office.delays.append(event.took)
@@ -288,6 +292,7 @@
         destination.fulls += 1
     elif event.blame is Blame.TURNED_BACK:
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
+        office.way_on.discard(dialogue.destination)
     if event.over:
         x.dialogues.pop(dialogue.id, None)
         return []
