Cheap dialogues leave one circuit in 20 to dearer ones

Cause: with groups full the dear use cases were blocked as often as the cheap ones. Acts when a group is nearly full and the dialogue's payoff is under twice the least. May hurt the cheap use case where it is also the worst served.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -153,12 +153,15 @@
     return x.unit * dialogue.width / 5
 
 
-def room(office: Office, width: int, alternate: bool) -> bool:
+def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
     (trunk reservation, exception): one circuit, and one for each 20."""
     if office.size is None:
         return True
-    return office.free >= width + (1 + office.size // 20 if alternate else 0)
+    kept = 1 + office.size // 20 if alternate else 0
+    if dialogue.use_case.payoff < 2 * x.unit:
+        kept += office.size // 20
+    return office.free >= dialogue.width + kept
 
 
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
@@ -173,7 +176,7 @@
     payoff -= felt(dialogue, destination.price)
     if payoff - leg <= 0 or not cold_room(x.cold, destination, now):
         return None
-    if room(destination, dialogue.width, dialogue.transit):
+    if room(x, destination, dialogue, dialogue.transit):
         return destination if destination not in dialogue.tried else None
     if dialogue.transit:
         return None
@@ -181,7 +184,7 @@
     for office in x.by_number.values():
         if office is destination or office.number == x.place.number or office in dialogue.tried:
             continue
-        if not room(office, dialogue.width, True) or not cold_room(x.cold, office, now):
+        if not room(x, office, dialogue, True) or not cold_room(x.cold, office, now):
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
@@ -200,7 +203,7 @@
         first = office.number == dialogue.destination
         if not first and office.number not in dialogue.use_case.pools:
             continue
-        if office in dialogue.tried or not room(office, dialogue.width, False):
+        if office in dialogue.tried or not room(x, office, dialogue, False):
             continue
         rank = (payoff - felt(dialogue, office.price) - (leg if first else 2 * leg), first, office.free)
         if rank > best_rank and rank[0] > 0:
