--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -160,7 +160,7 @@
         return True
     kept = 1 + office.size // 20 if alternate else 0
     if dialogue.use_case.payoff < 2 * x.unit:
-        kept += 1
+        kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
 
 
