Name a quarter of the agreed time to come back

Cause: pushed-back callers came again after the agreed time, worth only the late share. A quarter kept: it follows the use case.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -247,7 +247,8 @@
     x.dialogues.pop(dialogue.id, None)
     if now >= dialogue.give_up or (dialogue.may_have_run is not None and not dialogue.use_case.repeatable):
         return [Forfeit(dialogue.id)]
-    return [PushBack(dialogue.id, 0)]
+    # Come back soon enough that two more tries still fall within the agreed time, where callers heed it.
+    return [PushBack(dialogue.id, min(x.permissions.longest_retry_after, dialogue.use_case.agreed_time // 4))]
 
 
 def went_away(x: Exchange, event: WentAway) -> None:
