--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,55 @@
+"""State for tests, built directly: a call server at exchange 0 with two neighbours, 1 and 2."""
+
+from collections.abc import Callable
+
+import pytest
+
+from wellhitch.interface.events import Standing
+from wellhitch.interface.facts import ColdRule, Permissions, Place, ReleaseRule, UseCase
+from wellhitch.interface.state import CalledNumber, Dial, Dialogue, Exchange, Office
+
+SECOND = 1_000_000
+CHEAP = UseCase("cheap", 1.0, 0.2, 2 * SECOND, 9 * SECOND, 1, 10 * SECOND, (), True, 0)
+DEAR = UseCase("dear", 5.0, 0.2, SECOND, 6 * SECOND, 1, 8 * SECOND, (), True, 0)
+
+
+@pytest.fixture
+def exchange() -> Exchange:
+    x = Exchange(chance=7, use_cases={"cheap": CHEAP, "dear": DEAR}, unit=1.0, top=5.0)
+    x.place = Place(0, 2, False, 0)
+    x.permissions = Permissions(4, True, False, False, 2 * SECOND, True)
+    x.release = ReleaseRule(300_000, SECOND)
+    x.cold = ColdRule(0.4, 10 * SECOND, 2.5, 3 * SECOND)
+    for number in (0, 1, 2):
+        office = Office(f"office-{number}", number, Standing.READY, None, free=30, size=30)
+        x.offices[office.id] = x.by_number[number] = office
+    return x
+
+
+@pytest.fixture
+def new_dialogue(exchange: Exchange) -> Callable[..., Dialogue]:
+    def make(
+        use: UseCase = CHEAP, destination: int = 1, transit: bool = False, chance: float = 0.5
+    ) -> Dialogue:
+        number = len(exchange.dialogues) + 10
+        made = Dialogue(
+            number, use, destination, CalledNumber(), 1, 0, 3 * SECOND, None, False, transit, chance
+        )
+        exchange.dialogues[number] = made
+        return made
+
+    return make
+
+
+@pytest.fixture
+def dial_out(exchange: Exchange) -> Callable[..., Dial]:
+    def make(dialogue: Dialogue, number: int = 1, sent: int = 0) -> Dial:
+        office = exchange.by_number[number]
+        dial = Dial(dialogue, office, sent, number == dialogue.destination)
+        dialogue.dials.append(dial)
+        dialogue.out = dial
+        if dial.direct:
+            office.unanswered.append(dial)
+        return dial
+
+    return make
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,83 @@
+"""The wire: short hand-written batches."""
+
+import io
+import json
+
+import pytest
+
+from wellhitch.adapter import codec
+from wellhitch.adapter.host import serve
+from wellhitch.interface.events import Blame
+
+FACTS = {
+    "balancers": 2,
+    "classes": [{"name": "talk", "importance": 1.0, "objective_ns": 10**9, "deadline_ns": 9 * 10**9}],
+    "discovery": "push",
+    "family_info": {"topology": "meshed", "self_no": 0, "clear_wait_ns": 10**8},
+    "limits": {"most_tries": 3},
+    "rules": {},
+}
+TABLE = ["Table", 0, [["a", "z", "k", 0, "Ready", 1, None], ["b", "z", "k", 1, "Ready", 1, None]]]
+START = [["Create", 4, 9, FACTS], TABLE, ["Fleet", 4, 0, "Persisted", 1]]
+CALL = ["Ingress", 4, 77, None, 1, "ff", -1, "talk", 3 * 10**9, None, 1, 0]
+
+
+def played(*batches):
+    lines = "".join(
+        json.dumps({"at_time_ns": 10**6 * n, "n": n, "in": b}) + "\n" for n, b in enumerate(batches)
+    )
+    sink, errors = io.StringIO(), io.StringIO()
+    status = serve(io.StringIO(lines), sink, errors)
+    return status, [json.loads(line)["outbox"] for line in sink.getvalue().splitlines()]
+
+
+def test_a_dialogue_is_dialled_and_its_ending_taken():
+    end = ["Verdict", 4, 77, 0, "b", "QueueFull", 1000, False, 3, {"spare": 1, "total": 2, "new": 5}]
+    status, replies = played([], START, [CALL], [end])
+    assert status == 0
+    assert replies[0] == [] and replies[1] == [["Arm", 4, 250_000_000, 0]]
+    assert replies[2] == [["Assign", 4, 77, "b", 3 * 10**9]]
+    assert replies[3][0][:3] == ["Refuse", 4, 77]
+
+
+def test_stop_and_start_in_one_batch_forgets_everything():
+    status, replies = played(START, [CALL, ["PowerOff", 4], *START, ["Left", 4, 77]])
+    assert status == 0 and [m[0] for m in replies[1]] == ["Assign", "Arm"]
+
+
+def test_a_table_is_read_as_it_stood_when_named():
+    other = ["Table", 0, [["c", "z", "k", 1, "Ready", 1, None]]]
+    _, replies = played([*START, other], [CALL], [["Fleet", 4, 0, "Complete", 2], [*CALL[:2], 78, *CALL[3:]]])
+    assert replies[1][0][3] == "b" and replies[2][0][3] == "c"
+
+
+def test_unknown_events_and_instances_are_skipped():
+    status, replies = played(
+        START, [["Novelty", 4, 1], ["Left", 9, 1], ["HealthResult", 4, "zz", "Ok", 0, None]]
+    )
+    assert status == 0 and replies[1] == []
+
+
+def test_a_fault_in_the_decisions_is_told_plainly():
+    _, replies = played(START, [[*CALL[:7], "no such use case", *CALL[8:]]])
+    assert replies[1][0][:2] == ["Bug", 4] and "KeyError" in replies[1][0][2]
+
+
+@pytest.mark.parametrize("line", ["{", "[]", '{"n":1}', '{"at_time_ns":1,"n":1,"in":[3]}'])
+def test_a_line_that_is_no_batch_ends_with_a_plain_word(line):
+    sink, errors = io.StringIO(), io.StringIO()
+    assert serve(io.StringIO(line + "\n"), sink, errors) == 1
+    assert sink.getvalue() == "" and errors.getvalue().startswith("batch after none: ")
+
+
+@pytest.mark.parametrize(
+    ("cause", "blame", "wait"),
+    [(18, Blame.FAR_PROCESSOR_FULL, 0), (3 + 16 * 40, Blame.PROCESSOR_FULL, 40_000), (None, Blame.NONE, 0)],
+)
+def test_causes(cause, blame, wait):
+    assert codec.read_blame(cause) == (blame, wait)
+
+
+def test_values_below_nought_were_not_told():
+    report = codec.read_report({"spare": 3, "total": 5, "busy": -1, "lat_ms": 2.5})
+    assert (report.free, report.utilisation, report.wait) == (3, None, 2500)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,285 @@
+"""The decisions alone: each test builds its state and calls one function."""
+
+import pytest
+from conftest import CHEAP, DEAR, SECOND
+
+from wellhitch import rules
+from wellhitch.interface.actions import Follow, Forfeit, PushBack, Send, Wake
+from wellhitch.interface.events import (
+    Arrived,
+    Blame,
+    DialEnded,
+    Ending,
+    Entry,
+    Heard,
+    Listed,
+    Opened,
+    Report,
+    Reported,
+    Standing,
+    Stood,
+    WentAway,
+)
+from wellhitch.interface.facts import Place, UseCase
+from wellhitch.interface.state import Exchange
+
+NOTHING = Report()
+
+
+def ended(dialogue, office, ending, blame=Blame.NONE, over=False, dial=0):
+    return DialEnded(dialogue.id, dial, office, ending, blame, 0, over, NOTHING)
+
+
+# rule 1: one final answer, and nothing after it
+
+
+def test_given_up_dialogue_is_answered_once_and_forgotten(exchange, new_dialogue):
+    dialogue = new_dialogue()
+    assert rules.give_up(exchange, dialogue, SECOND) == [PushBack(dialogue.id, CHEAP.agreed_time // 4)]
+    assert dialogue.id not in exchange.dialogues
+
+
+def test_time_out_at_the_outer_limit_is_forfeited(exchange, new_dialogue, dial_out):
+    dialogue = new_dialogue()
+    dial_out(dialogue)
+    out = rules.dial_ended(exchange, ended(dialogue, "office-1", Ending.TIMED_OUT), 3 * SECOND)
+    assert out == [Forfeit(dialogue.id)]
+
+
+def test_events_without_a_living_dialogue_do_nothing(exchange, new_dialogue):
+    gone = new_dialogue()
+    exchange.dialogues.clear()
+    assert rules.decide(exchange, ended(gone, "office-1", Ending.RESET), SECOND) == []
+    assert rules.decide(exchange, Stood(gone.id, 0, 5), SECOND) == []
+    assert rules.decide(exchange, WentAway(gone.id), SECOND) == []
+    assert rules.decide(exchange, rules.Rang(gone.id + 1), SECOND) == []
+    assert rules.decide(exchange, Reported("nowhere", True, True, NOTHING), SECOND) == []
+
+
+def test_a_use_case_that_may_have_run_is_not_dialled_again(exchange, new_dialogue, dial_out):
+    once = UseCase("once", 1.0, 0.2, SECOND, 9 * SECOND, 1, SECOND, (), False, 0)
+    dialogue = new_dialogue(once)
+    dial_out(dialogue)
+    out = rules.dial_ended(exchange, ended(dialogue, "office-1", Ending.FAULT), SECOND)
+    assert out == [Forfeit(dialogue.id)]
+
+
+# rules 2 and 5: one dial at a time, and the release wait
+
+
+@pytest.mark.parametrize("ending", [Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED])
+def test_release_wait_comes_before_the_next_dial(exchange, new_dialogue, dial_out, ending):
+    dialogue = new_dialogue()
+    dial_out(dialogue)
+    out = rules.dial_ended(exchange, ended(dialogue, "office-1", ending), SECOND)
+    assert out == [Wake(300_000, dialogue.id + 1)]
+    assert rules.place_dialogue(exchange, dialogue, SECOND + 299_999) == [Wake(1, dialogue.id + 1)]
+    assert isinstance(rules.place_dialogue(exchange, dialogue, SECOND + 300_000)[0], Send)
+
+
+def test_a_timer_does_not_dial_while_a_dial_is_out(exchange, new_dialogue, dial_out):
+    dialogue = new_dialogue()
+    dial_out(dialogue)
+    assert rules.decide(exchange, rules.Rang(dialogue.id + 1), SECOND) == []
+
+
+def test_no_more_dials_than_allowed(exchange, new_dialogue, dial_out):
+    dialogue = new_dialogue()
+    for _ in range(4):
+        dial_out(dialogue)
+    dialogue.out = None
+    assert isinstance(rules.place_dialogue(exchange, dialogue, SECOND)[0], PushBack)
+
+
+# rule 3: drains
+
+
+@pytest.mark.parametrize("standing", [Standing.DRAINING, Standing.GONE])
+def test_nothing_new_to_an_office_that_drains_or_is_gone(exchange, new_dialogue, standing):
+    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, standing, None),)), 0)
+    assert rules.best_route(exchange, new_dialogue(), 0) is None
+    assert rules.best_route(exchange, new_dialogue(destination=2), 0) is exchange.offices["office-2"]
+
+
+def test_office_missing_from_a_whole_list_is_gone_and_a_new_one_takes_its_number(exchange):
+    exchange.offices["office-1"].usual = 4.0
+    entries = (Entry("office-0", 0, Standing.READY, None), Entry("fresh", 1, Standing.READY, SECOND))
+    rules.listed(exchange, Listed(Heard.WHOLE, entries), SECOND)
+    assert exchange.offices["office-1"].standing is Standing.GONE
+    assert exchange.by_number[1].id == "fresh" and exchange.by_number[1].usual == 4.0
+    assert 2 not in exchange.by_number
+
+
+# rule 4: cold offices
+
+
+def test_cold_office_gets_a_bounded_share_of_what_is_usual(exchange):
+    office = exchange.by_number[1]
+    office.usual, office.started, office.budget, office.budget_at = 10.0, 0, 0.0, 0
+    taken = 0
+    for now in range(0, 3 * SECOND, 10_000):
+        if rules.cold_room(exchange.cold, office, now):
+            office.budget -= 1
+            taken += 1
+    assert 0 < taken <= exchange.cold.multiple * exchange.cold.start_share * 10.0 * 3
+    assert not rules.cold(exchange.cold, office, exchange.cold.warm_after)
+
+
+# prices
+
+
+def test_price_steps_up_over_the_bound_down_under_it_and_decays_unheard():
+    assert rules.stepped(0.0, 1.5, 1.0, 5.0) > 0
+    assert 0 < rules.stepped(2.0, 0.5, 1.0, 5.0) < 2.0
+    assert rules.stepped(0.05, 0.0, 1.0, 5.0) == 0.0
+    assert 0 < rules.stepped(2.0, None, 1.0, 5.0) < 2.0
+    assert rules.stepped(7.4, 9.0, 1.0, 5.0) == 7.5
+
+
+def test_load_is_taken_from_reports_first_then_from_delay_and_full_is_over():
+    assert rules.load_of(0.45, 9 * SECOND, 9 * SECOND, 0) == pytest.approx(0.5)
+    assert rules.load_of(None, None, rules.BOUND_DELAY, 0) == pytest.approx(1.0)
+    assert rules.load_of(None, None, None, 0) is None
+    assert rules.load_of(0.1, None, None, 1) > 1
+
+
+def test_silence_counts_as_delay_but_one_lost_dial_does_not(exchange, new_dialogue, dial_out):
+    office = exchange.by_number[1]
+    dial_out(new_dialogue())
+    assert rules.delay_seen(office, 2 * SECOND) == 2 * SECOND
+    office.delays = [50_000, 60_000, 70_000]
+    assert rules.delay_seen(office, 2 * SECOND) < 100_000
+    assert rules.delay_seen(exchange.by_number[2], 2 * SECOND) is None
+
+
+def test_delay_common_to_all_offices_prices_the_own_processor(exchange):
+    for number in (1, 2):
+        exchange.by_number[number].delays = [2 * SECOND]
+    rules.interval_over(exchange, SECOND)
+    assert exchange.own_price > 0 and exchange.by_number[1].price == 0
+
+
+def test_delay_of_one_office_prices_that_office(exchange):
+    exchange.by_number[1].delays, exchange.by_number[2].delays = [2 * SECOND], [50_000]
+    rules.interval_over(exchange, SECOND)
+    assert exchange.own_price == 0 and exchange.by_number[1].price > 0 == exchange.by_number[2].price
+
+
+def test_caller_who_leaves_takes_his_dial_off_the_unanswered(exchange, new_dialogue, dial_out):
+    dialogue = new_dialogue()
+    dial_out(dialogue)
+    rules.went_away(exchange, WentAway(dialogue.id))
+    assert exchange.by_number[1].unanswered == [] and dialogue.id not in exchange.dialogues
+
+
+@pytest.mark.parametrize(
+    ("blame", "blamed"), [(Blame.PROCESSOR_FULL, 2), (Blame.FAR_PROCESSOR_FULL, 1), (Blame.TURNED_BACK, None)]
+)
+def test_blame_goes_to_the_processor_that_was_full(exchange, new_dialogue, dial_out, blame, blamed):
+    dialogue = new_dialogue()
+    dial_out(dialogue, number=2)
+    rules.dial_ended(exchange, ended(dialogue, "office-2", Ending.FULL, blame), SECOND)
+    assert [n for n in (1, 2) if exchange.by_number[n].fulls] == ([blamed] if blamed else [])
+
+
+# routes
+
+
+def test_direct_first_then_tandem_then_pushed_back(exchange, new_dialogue):
+    dialogue = new_dialogue()
+    assert rules.best_route(exchange, dialogue, 0).number == 1
+    exchange.by_number[1].free = 0
+    assert rules.best_route(exchange, dialogue, 0).number == 2
+    exchange.by_number[2].free = 1
+    assert rules.best_route(exchange, dialogue, 0) is None
+
+
+def test_priced_destination_sheds_cheap_dialogues_and_keeps_dear_ones(exchange, new_dialogue):
+    exchange.by_number[1].price = 2.0
+    assert rules.best_route(exchange, new_dialogue(CHEAP), 0) is None
+    assert rules.best_route(exchange, new_dialogue(DEAR), 0) is not None
+
+
+def test_price_near_the_payoff_admits_a_share(exchange, new_dialogue):
+    exchange.by_number[1].price = 1.0
+    sent = [rules.best_route(exchange, new_dialogue(chance=i / 100), 0) is not None for i in range(100)]
+    assert 10 < sum(sent) < 60
+
+
+def test_last_circuit_of_a_large_group_is_kept_for_dear_dialogues(exchange, new_dialogue):
+    exchange.by_number[1].free = 1
+    exchange.by_number[2].free = 0
+    assert rules.best_route(exchange, new_dialogue(CHEAP), 0) is None
+    assert rules.best_route(exchange, new_dialogue(DEAR), 0).number == 1
+
+
+def test_transit_goes_only_to_its_destination_and_leaves_circuits(exchange, new_dialogue):
+    dialogue = new_dialogue(transit=True)
+    assert rules.best_route(exchange, dialogue, 0).number == 1
+    exchange.by_number[1].free = 2
+    assert rules.best_route(exchange, dialogue, 0) is None
+
+
+def test_tandem_that_turned_back_rests_and_one_that_led_on_is_preferred(exchange, new_dialogue, dial_out):
+    third = rules.Office("office-3", 3, Standing.READY, None, free=20, size=30)
+    exchange.offices["office-3"] = exchange.by_number[3] = third
+    exchange.by_number[1].free = 0
+    assert rules.best_route(exchange, new_dialogue(), 0).number == 2
+    third.way_on.add(1)
+    assert rules.best_route(exchange, new_dialogue(), 0).number == 3
+    dialogue = new_dialogue()
+    dial_out(dialogue, number=3)
+    out = rules.dial_ended(exchange, ended(dialogue, "office-3", Ending.FULL, Blame.TURNED_BACK), SECOND)
+    assert out[0].office == "office-2"
+    assert rules.best_route(exchange, new_dialogue(), 2 * SECOND).number == 2
+
+
+def test_pools_prefer_the_first_choice_and_keep_to_the_use_case(exchange, new_dialogue):
+    exchange.place = Place(None, 2, False, 0)
+    skilled = UseCase("skilled", 1.0, 0.2, SECOND, 9 * SECOND, 1, SECOND, (1, 2), True, 0)
+    assert rules.best_route(exchange, new_dialogue(skilled), 0).number == 1
+    exchange.by_number[1].free = 0
+    assert rules.best_route(exchange, new_dialogue(skilled), 0).number == 2
+
+
+def test_number_with_all_lines_busy_rests_until_one_stands(exchange, new_dialogue, dial_out):
+    dialogue = new_dialogue()
+    dial_out(dialogue)
+    rules.dial_ended(exchange, ended(dialogue, "office-1", Ending.FAULT, Blame.LINES_BUSY), SECOND)
+    other = new_dialogue()
+    other.called = dialogue.called
+    assert isinstance(rules.place_dialogue(exchange, other, SECOND + 1)[0], PushBack)
+    again = new_dialogue()
+    again.called = dialogue.called
+    assert isinstance(rules.place_dialogue(exchange, again, dialogue.called.open_at)[0], Send)
+    rules.stood(exchange, Stood(again.id, 0, 10))
+    assert dialogue.called.pause == 0
+
+
+# start, chance and discovery
+
+
+def test_opening_starts_the_interval_and_asks_where_it_must(exchange):
+    event = Opened(
+        5, (CHEAP,), Place(0, 1, True, SECOND), exchange.permissions, exchange.release, exchange.cold
+    )
+    assert rules.decide(Exchange(), event, 0) == [Wake(rules.INTERVAL, rules.TICK), Follow()]
+
+
+def test_failed_discovery_is_asked_again_where_it_must_be(exchange):
+    exchange.place = Place(0, 1, True, SECOND)
+    rules.listed(exchange, Listed(Heard.FAILED, ()), 0)
+    assert Follow() in rules.interval_over(exchange, SECOND)
+
+
+def test_same_seed_same_actions(exchange):
+    def run():
+        x = Exchange()
+        facts = (exchange.place, exchange.permissions, exchange.release, exchange.cold)
+        rules.decide(x, Opened(11, (CHEAP,), *facts), 0)
+        entries = tuple(Entry(f"o{n}", n, Standing.READY, None) for n in range(4))
+        rules.decide(x, Listed(Heard.REMEMBERED, entries), 0)
+        arrivals = (Arrived(n, "cheap", 1 + n % 3, None, SECOND, 1, None, False, False) for n in range(50))
+        return [rules.decide(x, arrival, n) for n, arrival in enumerate(arrivals)]
+
+    assert run() == run()
--- a/wellhitch/adapter/codec.py
+++ b/wellhitch/adapter/codec.py
@@ -141,6 +141,7 @@
         dialogue=m[2],
         use_case=m[7],
         destination=int(m[10] if m[10] is not None else -1),
+        called=m[5],
         left=micros(m[8]),
         width=int(m[4] or 1),
         advised=None if advised is None or advised < 0 or marks & MARK_TRANSIT else int(advised),
--- a/wellhitch/interface/events.py
+++ b/wellhitch/interface/events.py
@@ -96,6 +96,7 @@
     dialogue: int
     use_case: str
     destination: int
+    called: str | None
     left: int
     width: int
     advised: int | None
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -25,6 +25,7 @@
     id: int
     use_case: UseCase
     destination: int
+    called: CalledNumber
     width: int
     arrived: int
     give_up: int
@@ -40,6 +41,15 @@
     stands: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class CalledNumber:
+    """A number called of late."""
+
+    pause: int = 0
+    open_at: int = 0
+    called_at: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Office:
     """One office as this call server knows it."""
@@ -76,6 +86,7 @@
     cold: ColdRule = ColdRule(0.0, 0, 0.0, 0)
     offices: dict[str, Office] = field(default_factory=dict)
     by_number: dict[int, Office] = field(default_factory=dict)
+    called: dict[str, CalledNumber] = field(default_factory=dict)
     dialogues: dict[int, Dialogue] = field(default_factory=dict)
     own_price: float = 0.0
     own_fulls: int = 0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -1,9 +1,9 @@
-"""Every decision of a call server: which dialogue goes, by which route, when it is dialled again or pushed back.
+"""Every decision of a call server: which dialogue goes, by which route, when it is dialled again.
 
-Callers hold one `Exchange` (a blank record at start) for each call server and pass what happens, in order and with
-the clock in whole microseconds, to `decide`, the only entry point. It returns what is to be done, in order. Events,
-actions, start facts and state records are types of `wellhitch.interface`. Ids are turned into objects here at the
-door and nowhere further in. docs/design.md tells what is ordinary path and what is an exception to it.
+Callers hold one `Exchange` (a blank record at start) for each call server and pass what happens, in order and
+with the clock in whole microseconds, to `decide`, the only entry point. It returns what to do, in order.
+Events, actions, start facts and state records are types of `wellhitch.interface`. Ids are turned into objects
+here at the door and nowhere further in. docs/design.md tells the ordinary path from the exceptions to it.
 """
 
 from statistics import median
@@ -26,8 +26,8 @@
     Stood,
     WentAway,
 )
-from wellhitch.interface.facts import ColdRule, Place
-from wellhitch.interface.state import Dial, Dialogue, Exchange, Office
+from wellhitch.interface.facts import ColdRule
+from wellhitch.interface.state import CalledNumber, Dial, Dialogue, Exchange, Office
 
 SECOND = 1_000_000
 INTERVAL = SECOND // 4  # the paper gives no figure; a second was too slow
@@ -75,7 +75,7 @@
 
 
 def listed(x: Exchange, event: Listed, now: int) -> list[Action]:
-    """Follow the list. An office missing from a whole list is gone; a new office at a number takes it over."""
+    """Follow the list. An office missing from a whole list is gone; a new one at a number takes it over."""
     if event.heard is Heard.FAILED:
         x.refollow = x.place.must_ask
         return []
@@ -129,10 +129,22 @@
     """Take a dialogue over and decide on it at once."""
     use = x.use_cases[event.use_case]
     dialogue = Dialogue(
-        event.dialogue, use, event.destination, event.width, now, now + event.left, event.advised,
-        event.redialled, event.transit, draw(x),
+        id=event.dialogue,
+        use_case=use,
+        destination=event.destination,
+        called=x.called.get(event.called or "") or CalledNumber(),
+        width=event.width,
+        arrived=now,
+        give_up=now + event.left,
+        advised=event.advised,
+        redialled=event.redialled,
+        transit=event.transit,
+        chance=draw(x),
     )
     x.dialogues[event.dialogue] = dialogue
+    dialogue.called.called_at = now
+    if event.called:
+        x.called[event.called] = dialogue.called
     return place_dialogue(x, dialogue, now)
 
 
@@ -143,8 +155,8 @@
 
 
 def felt(dialogue: Dialogue, price: float) -> float:
-    """Price as this dialogue feels it: half to one and a half of it, by chance, so that a price near the payoff
-    admits a share, as the paper's programme does, and all-or-nothing swings are spared."""
+    """Price as this dialogue feels it: half to one and a half of it, by chance, so that a price near the
+    payoff admits a share, as the paper's programme does, and all-or-nothing swings are spared."""
     return price * (0.5 + dialogue.chance)
 
 
@@ -215,9 +227,13 @@
     """Dial the best route, or answer at once. Rule 2: called only while no dial of the dialogue is out."""
     if now < dialogue.not_before:  # rule 5: the release wait of its last dial is not over
         return [Wake(dialogue.not_before - now, dialogue.id + 1)]
-    if len(dialogue.dials) >= x.permissions.most_dials or now >= dialogue.give_up or not may_repeat(dialogue, now):
+    if (
+        len(dialogue.dials) >= x.permissions.most_dials
+        or now >= dialogue.give_up
+        or not may_repeat(dialogue, now)
+    ):
         return give_up(x, dialogue, now)
-    office = best_route(x, dialogue, now)
+    office = best_route(x, dialogue, now) if now >= dialogue.called.open_at else None
     if office is None:
         return give_up(x, dialogue, now)
     direct = office.number == dialogue.destination
@@ -265,6 +281,7 @@
         return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
+    dialogue.called.pause = 0
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
     if dial in dial.office.unanswered:
@@ -302,21 +319,35 @@
         return []
     if dialogue.stands:
         return give_up(x, dialogue, now)
-    if event.ending not in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT) and dialogue.may_have_run is None:
+    if (
+        event.ending not in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT)
+        and dialogue.may_have_run is None
+    ):
         dialogue.may_have_run = dial.sent
     if event.ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED):
         dialogue.not_before = now + x.release.release_wait
         if dialogue.not_before >= dialogue.give_up:
             return give_up(x, dialogue, now)
+    if event.blame is Blame.LINES_BUSY:
+        lines_busy(dialogue.called, now)
     if event.blame in (Blame.LINES_BUSY, Blame.FAR_PROCESSOR_FULL):
         return give_up(x, dialogue, now)
     if event.blame is Blame.PROCESSOR_FULL and (dial.direct or event.ending is Ending.NOT_SENT):
         return give_up(x, dialogue, now)
-    if event.ending not in (Ending.NOT_SENT, Ending.FAULT):
+    if event.ending in (Ending.FULL, Ending.UNREACHABLE):
         dialogue.tried.append(office)
     return place_dialogue(x, dialogue, now)
 
 
+def lines_busy(called: CalledNumber, now: int) -> None:
+    """Many callers of one number (exception): while its lines are busy, set-ups to it are pushed back unsent,
+    for a pause that doubles with each busy answer and ends with the first dialogue that stands. From half a
+    second, as a line is seldom free sooner, to four, so that a freed line is found soon."""
+    if now >= called.open_at:
+        called.pause = min(max(2 * called.pause, SECOND // 2), 4 * SECOND)
+        called.open_at = now + called.pause
+
+
 # ---- prices ----
 
 
@@ -344,8 +375,12 @@
         office.price = stepped(office.price, load, x.unit, x.top)
         office.delays, office.fulls, office.utilisation, office.wait = [], 0, None, None
         if not cold(x.cold, office, now):
-            office.usual += (office.sent * SECOND / INTERVAL - office.usual) / 8  # a mean over some 8 intervals
+            office.usual += (
+                office.sent * SECOND / INTERVAL - office.usual
+            ) / 8  # a mean over some 8 intervals
         office.sent = 0
+    # A number not called for a minute is forgotten; by then its lines have changed hands.
+    x.called = {key: called for key, called in x.called.items() if now - called.called_at < 60 * SECOND}
     out: list[Action] = [Wake(INTERVAL, TICK)]
     if x.refollow:
         x.refollow = False
@@ -365,7 +400,7 @@
 
 
 def load_of(utilisation: float | None, wait: int | None, delay: int | None, fulls: int) -> float | None:
-    """Load over its bound by the best sign there is, or None without a fresh one; 'full' is over the bound."""
+    """Load over its bound by the best fresh sign, or None without one; 'full' is over the bound."""
     if utilisation is not None:
         load: float | None = utilisation / BOUND_UTILISATION
     elif wait is not None:
@@ -393,11 +428,11 @@
 
 
 def cold_room(rule: ColdRule, office: Office, now: int) -> bool:
-    """Rule 4: a cold office gets no more from here than its share of what this call server usually sends it."""
+    """Rule 4: a cold office gets no more from here than its share of what this server usually sends it."""
     if not cold(rule, office, now):
         office.budget, office.budget_at = 1.0, now
         return True
-    grown = max(0.0, (now - office.started) / rule.warm_after)
+    grown = max(0.0, (now - (office.started or 0)) / rule.warm_after)
     share = rule.start_share + (1 - rule.start_share) * grown
     rate = max(office.usual, 0.25) * share
     office.budget = min(office.budget + rate * (now - office.budget_at) / SECOND, 1.0 + rate)
