Prices decay by 0.3 unheard and stay under 0.7 of the highest payoff

Dear dialogues are never fully shut out, so a fresh sign always comes. May hurt where even dear ones alone overload.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -413,9 +413,9 @@
 def stepped(price: float, load: float | None, unit: float, top: float) -> float:
     """One step of a price: up over the bound, down toward nought under it, decay unheard."""
     if load is None:
-        return price * 0.8 if price > unit / 100 else 0.0
+        return price * 0.7 if price > unit / 100 else 0.0
     if load > 1:
-        return min(price + unit * 0.4 * min(load - 1, 2.0), 1.5 * top)
+        return min(price + unit * 0.4 * min(load - 1, 2.0), 0.7 * top)
     return max(0.0, price - (unit + price) * 0.2 * (1 - load))
 
 
