Delay bound a quarter of the shortest agreed time

Cause: one fixed bound suits no use case in particular. Kept: the figure comes from the facts handed at start.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def exchange() -> Exchange:
-    x = Exchange(chance=7, use_cases={"cheap": CHEAP, "dear": DEAR}, unit=1.0, top=5.0)
+    x = Exchange(chance=7, use_cases={"cheap": CHEAP, "dear": DEAR}, unit=1.0, top=5.0, bound_delay=400_000)
     x.place = Place(0, 2, False, 0)
     x.permissions = Permissions(4, True, False, False, 2 * SECOND, True)
     x.release = ReleaseRule(300_000, SECOND)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -133,23 +133,23 @@
     assert 0 < rules.stepped(2.0, 0.5, 1.0, 5.0) < 2.0
     assert rules.stepped(0.05, 0.0, 1.0, 5.0) == 0.0
     assert 0 < rules.stepped(2.0, None, 1.0, 5.0) < 2.0
-    assert rules.stepped(7.4, 9.0, 1.0, 5.0) == 7.5
+    assert rules.stepped(3.4, 9.0, 1.0, 5.0) == 3.5
 
 
 def test_load_is_taken_from_reports_first_then_from_delay_and_full_is_over():
-    assert rules.load_of(0.45, 9 * SECOND, 9 * SECOND, 0) == pytest.approx(0.5)
-    assert rules.load_of(None, None, rules.BOUND_DELAY, 0) == pytest.approx(1.0)
-    assert rules.load_of(None, None, None, 0) is None
-    assert rules.load_of(0.1, None, None, 1) > 1
+    assert rules.load_of(400_000, 0.45, 9 * SECOND, 9 * SECOND, 0) == pytest.approx(0.5)
+    assert rules.load_of(400_000, None, None, 400_000, 0) == pytest.approx(1.0)
+    assert rules.load_of(400_000, None, None, None, 0) is None
+    assert rules.load_of(400_000, 0.1, None, None, 1) > 1
 
 
 def test_silence_counts_as_delay_but_one_lost_dial_does_not(exchange, new_dialogue, dial_out):
     office = exchange.by_number[1]
     dial_out(new_dialogue())
-    assert rules.delay_seen(office, 2 * SECOND) == 2 * SECOND
+    assert rules.delay_seen(office, 400_000, 2 * SECOND) == 2 * SECOND
     office.delays = [50_000, 60_000, 70_000]
-    assert rules.delay_seen(office, 2 * SECOND) < 100_000
-    assert rules.delay_seen(exchange.by_number[2], 2 * SECOND) is None
+    assert rules.delay_seen(office, 400_000, 2 * SECOND) < 100_000
+    assert rules.delay_seen(exchange.by_number[2], 400_000, 2 * SECOND) is None
 
 
 def test_delay_common_to_all_offices_prices_the_own_processor(exchange):
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -91,5 +91,6 @@
     own_price: float = 0.0
     own_fulls: int = 0
     refollow: bool = False
+    bound_delay: int = 0
     unit: float = 0.0
     top: float = 0.0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -70,6 +70,8 @@
     x.use_cases = {use.name: use for use in event.use_cases}
     x.place, x.permissions, x.release, x.cold = event.place, event.permissions, event.release, event.cold
     x.unit = min((use.payoff for use in event.use_cases if use.payoff > 0), default=1.0)
+    # Two processors at their bound take half the shortest agreed time; the rest is the network's and chance's.
+    x.bound_delay = min((use.agreed_time for use in event.use_cases), default=SECOND) // 4
     x.top = max((use.payoff for use in event.use_cases), default=1.0)
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
 
@@ -363,15 +365,17 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    delays = {office.id: delay_seen(office, now) for office in x.by_number.values()}
+    delays = {office.id: delay_seen(office, x.bound_delay, now) for office in x.by_number.values()}
     seen = [delay for delay in delays.values() if delay is not None]
     own_delay = min(seen) if len(seen) > 1 else None  # what all routes share is the own processor's
-    x.own_price = stepped(x.own_price, load_of(None, None, own_delay, x.own_fulls), x.unit, x.top)
+    x.own_price = stepped(
+        x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
+    )
     x.own_fulls = 0
     for office in x.by_number.values():
         delay = delays[office.id]
         far = None if delay is None else delay - (own_delay or 0)
-        load = load_of(office.utilisation, office.wait, far, office.fulls)
+        load = load_of(x.bound_delay, office.utilisation, office.wait, far, office.fulls)
         office.price = stepped(office.price, load, x.unit, x.top)
         office.delays, office.fulls, office.utilisation, office.wait = [], 0, None, None
         if not cold(x.cold, office, now):
@@ -389,24 +393,25 @@
 
 
 BOUND_UTILISATION = 0.9  # the design page's starting bound
-BOUND_DELAY = SECOND * 2 // 5  # two processors at their bound still leave a usual agreed time its slack
 
 
-def delay_seen(office: Office, now: int) -> int | None:
+def delay_seen(office: Office, bound: int, now: int) -> int | None:
     """Middle set-up delay of the interval. A dial that waits past the bound counts with its age: silence is
     evidence, and one lost dial among many answered ones moves the middle little."""
-    ages = [now - dial.sent for dial in office.unanswered if now - dial.sent > BOUND_DELAY]
+    ages = [now - dial.sent for dial in office.unanswered if now - dial.sent > bound]
     return int(median(office.delays + ages)) if office.delays or ages else None
 
 
-def load_of(utilisation: float | None, wait: int | None, delay: int | None, fulls: int) -> float | None:
+def load_of(
+    bound: int, utilisation: float | None, wait: int | None, delay: int | None, fulls: int
+) -> float | None:
     """Load over its bound by the best fresh sign, or None without one; 'full' is over the bound."""
     if utilisation is not None:
         load: float | None = utilisation / BOUND_UTILISATION
     elif wait is not None:
-        load = wait / BOUND_DELAY
+        load = wait / bound
     else:
-        load = None if delay is None else delay / BOUND_DELAY
+        load = None if delay is None else delay / bound
     return max(load or 0.0, 1.5) if fulls else load
 
 
