--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -70,7 +70,7 @@
     x.use_cases = {use.name: use for use in event.use_cases}
     x.place, x.permissions, x.release, x.cold = event.place, event.permissions, event.release, event.cold
     x.unit = min((use.payoff for use in event.use_cases if use.payoff > 0), default=1.0)
-    # Two processors at their bound take half the shortest agreed time; the rest is the network's and chance's.
+    # Two processors at their bound take half the shortest agreed time; the rest is left to chance.
     x.bound_delay = min((use.agreed_time for use in event.use_cases), default=SECOND) // 4
     x.top = max((use.payoff for use in event.use_cases), default=1.0)
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
@@ -420,7 +420,7 @@
     if load is None:
         return price * 0.7 if price > unit / 100 else 0.0
     if load > 1:
-        return min(price + unit * 0.4 * min(load - 1, 2.0), 0.7 * top)
+        return min(price + unit * 0.8 * min(load - 1, 1.0), 0.7 * top)
     return max(0.0, price - (unit + price) * 0.2 * (1 - load))
 
 
