--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -169,10 +169,10 @@
 
 def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
-    (trunk reservation, exception): one circuit, and one for each 20."""
+    (trunk reservation, exception): one circuit, and one for each 10."""
     if office.size is None:
         return True
-    kept = 1 + office.size // 20 if alternate else 0
+    kept = 1 + office.size // 10 if alternate else 0
     if dialogue.use_case.payoff < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
