--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -152,7 +152,7 @@
 
 def payoff_now(dialogue: Dialogue, now: int) -> float:
     """Payoff if it stood now: past the agreed time only the late share is left."""
-    late = now - dialogue.arrived > dialogue.use_case.agreed_time
+    late = dialogue.redialled or now - dialogue.arrived > dialogue.use_case.agreed_time
     return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
 
 
@@ -162,9 +162,9 @@
     return price * (0.5 + dialogue.chance)
 
 
-def leg_cost(x: Exchange, dialogue: Dialogue) -> float:
+def leg_cost(x: Exchange, dialogue: Dialogue, now: int) -> float:
     """Cost of one leg: a twentieth of the least payoff, so that two legs never outweigh a tandem dialogue."""
-    return x.unit * dialogue.width / 5
+    return min(x.unit, payoff_now(dialogue, now)) * dialogue.width / 5
 
 
 def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
@@ -181,7 +181,7 @@
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
     """First office of the route with the highest positive net payoff and room; ties go direct."""
     payoff = payoff_now(dialogue, now) - felt(dialogue, x.own_price)
-    leg = leg_cost(x, dialogue)
+    leg = leg_cost(x, dialogue, now)
     if x.place.number is None:
         return best_pool(x, dialogue, payoff, leg)
     destination = x.by_number.get(dialogue.destination)
