--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -172,7 +172,7 @@
     (trunk reservation, exception): one circuit, and one for each 10."""
     if office.size is None:
         return True
-    kept = 1 + office.size // 10 if alternate or dialogue.redialled else 0
+    kept = 1 + office.size // 10 if alternate else 0
     if dialogue.use_case.payoff < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
