Payoff counts from the first try, known by the number called

A number called again within the outer limit that has not stood is a redial; marked ones use the same clock, so one within the agreed time keeps its payoff. Should hold against any redial storm; hurts where many callers share one number.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,9 +32,7 @@
         use: UseCase = CHEAP, destination: int = 1, transit: bool = False, chance: float = 0.5
     ) -> Dialogue:
         number = len(exchange.dialogues) + 10
-        made = Dialogue(
-            number, use, destination, CalledNumber(), 1, 0, 3 * SECOND, None, False, transit, chance
-        )
+        made = Dialogue(number, use, destination, CalledNumber(), 1, 0, 3 * SECOND, None, transit, chance)
         exchange.dialogues[number] = made
         return made
 
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -27,10 +27,9 @@
     destination: int
     called: CalledNumber
     width: int
-    arrived: int
+    first_try: int
     give_up: int
     advised: int | None
-    redialled: bool
     transit: bool
     chance: float
     dials: list[Dial] = field(default_factory=list)
@@ -48,6 +47,7 @@
     pause: int = 0
     open_at: int = 0
     called_at: int = 0
+    first_try: int | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -26,7 +26,7 @@
     Stood,
     WentAway,
 )
-from wellhitch.interface.facts import ColdRule
+from wellhitch.interface.facts import ColdRule, UseCase
 from wellhitch.interface.state import CalledNumber, Dial, Dialogue, Exchange, Office
 
 SECOND = 1_000_000
@@ -130,29 +130,40 @@
 def arrived(x: Exchange, event: Arrived, now: int) -> list[Action]:
     """Take a dialogue over and decide on it at once."""
     use = x.use_cases[event.use_case]
+    called = x.called.get(event.called or "") or CalledNumber()
+    if event.called and not event.transit:
+        x.called[event.called] = called
+        if is_first_try(called, use, event.redialled, x.permissions.marks_redials, now):
+            called.first_try = now
     dialogue = Dialogue(
         id=event.dialogue,
         use_case=use,
         destination=event.destination,
-        called=x.called.get(event.called or "") or CalledNumber(),
+        called=called,
         width=event.width,
-        arrived=now,
+        first_try=now if called.first_try is None or event.transit else called.first_try,
         give_up=now + event.left,
         advised=event.advised,
-        redialled=event.redialled,
         transit=event.transit,
         chance=draw(x),
     )
     x.dialogues[event.dialogue] = dialogue
-    dialogue.called.called_at = now
-    if event.called:
-        x.called[event.called] = dialogue.called
+    called.called_at = now
     return place_dialogue(x, dialogue, now)
 
 
+def is_first_try(called: CalledNumber, use: UseCase, redialled: bool, marked: bool, now: int) -> bool:
+    """Whether a dialogue is its caller's first try. Where callers do not mark redials (exception), one to a number
+    that was called within the outer limit and has not stood since is taken for a redial: its payoff is due only
+    within the agreed time of the first try, or redials would shut first tries out."""
+    if called.first_try is None or now - called.first_try > use.outer_limit:
+        return True
+    return marked and not redialled
+
+
 def payoff_now(dialogue: Dialogue, now: int) -> float:
     """Payoff if it stood now: past the agreed time only the late share is left."""
-    late = dialogue.redialled or now - dialogue.arrived > dialogue.use_case.agreed_time
+    late = now - dialogue.first_try > dialogue.use_case.agreed_time
     return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
 
 
@@ -283,7 +294,7 @@
         return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
-    dialogue.called.pause = 0
+    dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
     if dial in dial.office.unanswered:
