--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -153,17 +153,18 @@
 
 
 def is_first_try(called: CalledNumber, use: UseCase, redialled: bool, marked: bool, now: int) -> bool:
-    """Whether a dialogue is its caller's first try. Where callers do not mark redials (exception), one to a number
-    that was called within the outer limit and has not stood since is taken for a redial: its payoff is due only
-    within the agreed time of the first try, or redials would shut first tries out."""
+    """Whether a dialogue is its caller's first try. Where callers do not mark redials (exception), one to a
+    number that was called within the outer limit and has not stood since is taken for a redial: its payoff is
+    due only within the agreed time of the first try, or redials would shut first tries out."""
     if called.first_try is None or now - called.first_try > use.outer_limit:
         return True
     return marked and not redialled
 
 
-def payoff_now(dialogue: Dialogue, now: int) -> float:
-    """Payoff if it stood now: past the agreed time only the late share is left."""
-    late = now - dialogue.first_try > dialogue.use_case.agreed_time
+def payoff_now(x: Exchange, dialogue: Dialogue, now: int) -> float:
+    """Payoff if it is sent now: where it would stand past the agreed time, a bound's delay counted in, only the
+    late share is left."""
+    late = now + x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
     return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
 
 
@@ -175,7 +176,7 @@
 
 def leg_cost(x: Exchange, dialogue: Dialogue, now: int) -> float:
     """Cost of one leg: a twentieth of the least payoff, so that two legs never outweigh a tandem dialogue."""
-    return min(x.unit, payoff_now(dialogue, now)) * dialogue.width / 5
+    return min(x.unit, payoff_now(x, dialogue, now)) * dialogue.width / 5
 
 
 def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
@@ -191,7 +192,7 @@
 
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
     """First office of the route with the highest positive net payoff and room; ties go direct."""
-    payoff = payoff_now(dialogue, now) - felt(dialogue, x.own_price)
+    payoff = payoff_now(x, dialogue, now) - felt(dialogue, x.own_price)
     leg = leg_cost(x, dialogue, now)
     if x.place.number is None:
         return best_pool(x, dialogue, payoff, leg)
