--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -162,7 +162,7 @@
 
 
 def payoff_now(x: Exchange, dialogue: Dialogue, now: int) -> float:
-    """Payoff if it is sent now: where it would stand past the agreed time, with two processors at their bound,
+    """Payoff if sent now: where it would stand past the agreed time, with two processors at their bound,
     only the late share is left."""
     late = now + 2 * x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
     return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
