--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -103,6 +103,7 @@
 
 def test_office_missing_from_a_whole_list_is_gone_and_a_new_one_takes_its_number(exchange):
     exchange.offices["office-1"].usual = 4.0
+    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, Standing.DRAINING, None),)), 0)
     entries = (Entry("office-0", 0, Standing.READY, None), Entry("fresh", 1, Standing.READY, SECOND))
     rules.listed(exchange, Listed(Heard.WHOLE, entries), SECOND)
     assert exchange.offices["office-1"].standing is Standing.GONE
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -102,9 +102,10 @@
     office = x.offices.get(entry.office)
     if office is None:
         office = x.offices[entry.office] = Office(entry.office, entry.number, entry.standing, entry.started)
-        before = x.by_number.get(entry.number)
-        if before:
-            office.usual, office.free, office.size = before.usual, before.free, before.size
+        for before in x.offices.values():  # the one replaced has left `by_number` when it drained
+            if before.number == entry.number and before is not office:
+                office.usual = max(office.usual, before.usual)
+                office.free, office.size = before.free, before.size
     elif entry.started != office.started:
         office.price, office.unanswered = 0.0, []
     office.standing, office.started = entry.standing, entry.started
