--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -452,7 +452,7 @@
         return True
     grown = max(0.0, (now - (office.started or 0)) / rule.warm_after)
     share = rule.start_share + (1 - rule.start_share) * grown
-    rate = max(office.usual, 0.25) * share
+    rate = max(office.usual, 0.25) * share * rule.multiple / 2
     office.budget = min(office.budget + rate * (now - office.budget_at) / SECOND, 1.0 + rate)
     office.budget_at = now
     return office.budget >= 1.0
