--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -392,9 +392,8 @@
         office.price = stepped(office.price, load, x.unit, x.top)
         office.delays, office.fulls, office.utilisation, office.wait = [], 0, None, None
         if not cold(x.cold, office, now):
-            office.usual += (
-                office.sent * SECOND / INTERVAL - office.usual
-            ) / 8  # a mean over some 8 intervals
+            # a mean over some 32 intervals, long against a burst and short against a day
+            office.usual += (office.sent * SECOND / INTERVAL - office.usual) / 32
         office.sent = 0
     # A number not called for a minute is forgotten; by then its lines have changed hands.
     x.called = {key: called for key, called in x.called.items() if now - called.called_at < 60 * SECOND}
