--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -180,12 +180,13 @@
     return min(x.unit, payoff_now(x, dialogue, now)) * dialogue.width / 5
 
 
-def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
+def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool, now: int) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
     (trunk reservation, exception): one circuit, and one for each 10."""
     if office.size is None:
         return True
-    kept = 1 + office.size // 10 if alternate else 0
+    payoff = payoff_now(x, dialogue, now)
+    kept = 1 + office.size // 10 if alternate or payoff < x.unit else 0
     if dialogue.use_case.payoff < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
@@ -203,7 +204,7 @@
     payoff -= felt(dialogue, destination.price)
     if payoff - leg <= 0 or not cold_room(x.cold, destination, now):
         return None
-    if room(x, destination, dialogue, dialogue.transit):
+    if room(x, destination, dialogue, dialogue.transit, now):
         return destination if destination not in dialogue.tried else None
     if dialogue.transit:
         return None
@@ -211,7 +212,7 @@
     for office in x.by_number.values():
         if office is destination or office.number == x.place.number or office in dialogue.tried:
             continue
-        if not room(x, office, dialogue, True) or not cold_room(x.cold, office, now):
+        if not room(x, office, dialogue, True, now) or not cold_room(x.cold, office, now):
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
@@ -230,7 +231,7 @@
         first = office.number == dialogue.destination
         if not first and office.number not in dialogue.use_case.pools:
             continue
-        if office in dialogue.tried or not room(x, office, dialogue, False):
+        if office in dialogue.tried or not room(x, office, dialogue, False, now):
             continue
         rank = (payoff - felt(dialogue, office.price) - (leg if first else 2 * leg), first, office.free)
         if rank > best_rank and rank[0] > 0:
