--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -257,6 +257,25 @@
     assert dialogue.called.pause == 0
 
 
+def test_redial_counts_from_the_first_try_and_late_ones_leave_circuits(exchange, new_dialogue):
+    dialogue = new_dialogue()
+    assert rules.payoff_now(exchange, dialogue, CHEAP.agreed_time) == CHEAP.payoff
+    exchange.own_price = 0.1
+    assert rules.payoff_now(exchange, dialogue, CHEAP.agreed_time) < CHEAP.payoff
+    exchange.by_number[1].free = 2
+    assert rules.best_route(exchange, dialogue, 0) is not None
+    assert rules.best_route(exchange, dialogue, CHEAP.agreed_time + 1) is None
+
+
+def test_unmarked_redial_is_known_by_the_number_called():
+    called = rules.CalledNumber()
+    assert rules.is_first_try(called, CHEAP, False, False, 0)
+    called.first_try = 0
+    assert not rules.is_first_try(called, CHEAP, False, False, SECOND)
+    assert rules.is_first_try(called, CHEAP, False, True, SECOND)
+    assert rules.is_first_try(called, CHEAP, False, False, CHEAP.outer_limit + 1)
+
+
 # start, chance and discovery
 
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -163,9 +163,11 @@
 
 
 def payoff_now(x: Exchange, dialogue: Dialogue, now: int) -> float:
-    """Payoff if sent now: where it would stand past the agreed time, with two processors at their bound,
-    only the late share is left."""
-    late = now + 2 * x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
+    """Payoff if sent now: where it would stand past the agreed time, counting a bound's delay for each pressed
+    processor of its ends, only the late share is left."""
+    destination = x.by_number.get(dialogue.destination)
+    pressed = (x.own_price > 0) + (destination is not None and destination.price > 0)
+    late = now + pressed * x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
     return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
 
 
@@ -176,7 +178,7 @@
 
 
 def leg_cost(x: Exchange, dialogue: Dialogue, now: int) -> float:
-    """Cost of one leg: a twentieth of the least payoff, so that two legs never outweigh a tandem dialogue."""
+    """Cost of one leg: a fifth of the least payoff, so that two legs never outweigh a tandem dialogue."""
     return min(x.unit, payoff_now(x, dialogue, now)) * dialogue.width / 5
 
 
@@ -452,6 +454,7 @@
         return True
     grown = max(0.0, (now - (office.started or 0)) / rule.warm_after)
     share = rule.start_share + (1 - rule.start_share) * grown
+    # Never under one dial in four seconds, so that an office not used before can still be tried.
     rate = max(office.usual, 0.25) * share * rule.multiple / 2
     office.budget = min(office.budget + rate * (now - office.budget_at) / SECOND, 1.0 + rate)
     office.budget_at = now
