--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -163,8 +163,8 @@
 
 
 def payoff_now(x: Exchange, dialogue: Dialogue, now: int) -> float:
-    """Payoff if sent now: where it would stand past the agreed time, counting a bound's delay for each pressed
-    processor of its ends, only the late share is left."""
+    """Payoff if sent now: where it would stand past the agreed time, counting a bound's delay for each
+    pressed processor of its ends, only the late share is left."""
     destination = x.by_number.get(dialogue.destination)
     pressed = (x.own_price > 0) + (destination is not None and destination.price > 0)
     late = now + pressed * x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
@@ -199,7 +199,7 @@
     payoff = payoff_now(x, dialogue, now) - felt(dialogue, x.own_price)
     leg = leg_cost(x, dialogue, now)
     if x.place.number is None:
-        return best_pool(x, dialogue, payoff, leg)
+        return best_pool(x, dialogue, payoff, leg, now)
     destination = x.by_number.get(dialogue.destination)
     if destination is None or dialogue.destination == x.place.number:
         return None
@@ -226,7 +226,7 @@
     return best
 
 
-def best_pool(x: Exchange, dialogue: Dialogue, payoff: float, leg: float) -> Office | None:
+def best_pool(x: Exchange, dialogue: Dialogue, payoff: float, leg: float, now: int) -> Office | None:
     """Pools in place of exchanges: the first choice costs one leg, another of the use case's pools two."""
     best, best_rank = None, (0.0, False, 0)
     for office in x.by_number.values():
