--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -208,7 +208,7 @@
         return None
     if room(x, destination, dialogue, dialogue.transit, now):
         return destination if destination not in dialogue.tried else None
-    if dialogue.transit:
+    if dialogue.transit or payoff_now(x, dialogue, now) < x.unit:
         return None
     best, best_rank = None, (0.0, False, False, 0)
     for office in x.by_number.values():
