--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -282,7 +282,9 @@
     if now >= dialogue.give_up or (dialogue.may_have_run is not None and not dialogue.use_case.repeatable):
         return [Forfeit(dialogue.id)]
     # Come back soon enough that two more tries still fall within the agreed time, where callers heed it.
-    return [PushBack(dialogue.id, min(x.permissions.longest_retry_after, dialogue.use_case.agreed_time // 4))]
+    come_back = dialogue.use_case.agreed_time // (4 if x.own_price <= x.unit else 1)
+    return [PushBack(dialogue.id, min(x.permissions.longest_retry_after, come_back))]
+
 
 
 def went_away(x: Exchange, event: WentAway) -> None:
