--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -153,6 +153,12 @@
     assert rules.delay_seen(exchange.by_number[2], 400_000, 2 * SECOND) is None
 
 
+def test_dial_overtaken_by_an_answered_one_is_lost_and_no_load_sign(exchange, new_dialogue, dial_out):
+    lost, answered, waiting = (dial_out(new_dialogue(), sent=n) for n in range(3))
+    rules.stood(exchange, Stood(answered.dialogue.id, 0, 50_000))
+    assert exchange.by_number[1].unanswered == [waiting] and lost.dialogue.out is lost
+
+
 def test_delay_common_to_all_offices_prices_the_own_processor(exchange):
     for number in (1, 2):
         exchange.by_number[number].delays = [2 * SECOND]
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -303,7 +303,9 @@
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
     if dial in dial.office.unanswered:
-        dial.office.unanswered.remove(dial)
+        # A processor takes set-ups in order: one sent before an answered one is lost, not waiting, and no
+        # load sign. Without this a few lost dials shut an office that answers the others at once.
+        dial.office.unanswered = [later for later in dial.office.unanswered if later.sent > dial.sent]
         dial.office.delays.append(event.took)
 
 
