--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -8,7 +8,7 @@
 
 from statistics import median
 
-from wellhitch.interface.actions import Action, Cancel, Follow, Forfeit, PushBack, Send, Wake
+from wellhitch.interface.actions import Action, Follow, Forfeit, PushBack, Send, Wake
 from wellhitch.interface.events import (
     Arrived,
     Blame,
@@ -44,7 +44,7 @@
         case Arrived():
             return arrived(x, event, now)
         case Stood():
-            return stood(x, event)
+            stood(x, event)
         case DialEnded():
             return dial_ended(x, event, now)
         case Reported():
@@ -292,28 +292,21 @@
         dialogue.out.office.unanswered.remove(dialogue.out)
 
 
-def stood(x: Exchange, event: Stood) -> list[Action]:
+def stood(x: Exchange, event: Stood) -> None:
     """A dial was answered; its delay is a load sign of the processors crossed."""
     dialogue = x.dialogues.get(event.dialogue)
     if not dialogue or event.dial >= len(dialogue.dials):
-        return []
+        return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
     dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
-    if dial not in dial.office.unanswered:
-        return []
-    # A processor takes set-ups in order: one sent well before an answered one is lost, not waiting, and no load
-    # sign. Without this a few lost dials shut an office that answers the others at once. It is called off where
-    # that is allowed, so that the dialogue is dialled again after the release wait while it can still pay. A
-    # quarter of the bound is left for the network's unevenness.
-    lost = [old for old in dial.office.unanswered if old.sent < dial.sent - x.bound_delay // 4]
-    dial.office.unanswered = [old for old in dial.office.unanswered if old not in lost and old is not dial]
-    dial.office.delays.append(event.took)
-    if not x.permissions.may_cancel:
-        return []
-    return [Cancel(old.dialogue.id, old.dialogue.dials.index(old)) for old in lost]
+    if dial in dial.office.unanswered:
+        # A processor takes set-ups in order: one sent before an answered one is lost, not waiting, and no
+        # load sign. Without this a few lost dials shut an office that answers the others at once.
+        dial.office.unanswered = [later for later in dial.office.unanswered if later.sent > dial.sent]
+        dial.office.delays.append(event.took)
 
 
 def dial_ended(x: Exchange, event: DialEnded, now: int) -> list[Action]:
