--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -184,7 +184,8 @@
 
 def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool, now: int) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
-    (trunk reservation, exception): one circuit, and one for each 10."""
+    (trunk reservation, exception): one circuit, and one for each 10; by rounds, fewer starved direct ones. A
+    late one is treated alike, and a cheap one leaves the last circuit of a group of 20 or more to dearer ones."""
     if office.size is None:
         return True
     payoff = payoff_now(x, dialogue, now)
@@ -332,6 +333,7 @@
     elif event.blame is Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
     elif event.blame is Blame.TURNED_BACK:
+        # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
     if event.over:
@@ -433,7 +435,9 @@
 
 
 def stepped(price: float, load: float | None, unit: float, top: float) -> float:
-    """One step of a price: up over the bound, down toward nought under it, decay unheard."""
+    """One step of a price: up over the bound, down toward nought under it, decay unheard. Figures by rounds on
+    all three deployments: slower decay or a higher cap kept offices shut long after their trouble, and under
+    the cap of 0.7 of the highest payoff a dear dialogue can always bring a fresh sign."""
     if load is None:
         return price * 0.7 if price > unit / 100 else 0.0
     if load > 1:
