--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -185,7 +185,7 @@
 def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool, now: int) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
     (trunk reservation, exception): one circuit, and one for each 10; by rounds, fewer starved direct ones.
-    Late ones are treated alike; a cheap one leaves the last circuit of a group of 20 or more to dearer ones."""
+    Late ones are treated alike; a cheap one leaves the last circuit of a group of 20 to dearer ones."""
     if office.size is None:
         return True
     payoff = payoff_now(x, dialogue, now)
@@ -435,8 +435,8 @@
 
 
 def stepped(price: float, load: float | None, unit: float, top: float) -> float:
-    """One step of a price: up over the bound, down toward nought under it, decay unheard. Figures by rounds on
-    all deployments: slower decay or a higher cap kept offices shut long after their trouble, and under the
+    """One step of a price: up over the bound, down toward nought under it, decay unheard. By rounds in
+    all three: slower decay or a higher cap kept offices shut long after their trouble, and under the
     cap of 0.7 of the highest payoff a dear dialogue can always bring a fresh sign."""
     if load is None:
         return price * 0.7 if price > unit / 100 else 0.0
