Tidy: payoff worked out once a decision, one check for usable, no dead parameters

Found on reading the whole change: room and leg cost each worked the payoff out anew for every office; 'usable' stood beside a copy of its own test and was never called; three functions took a clock they did not use; the leaver's dial was taken off by a tangled expression.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -96,16 +96,16 @@
 
 @pytest.mark.parametrize("standing", [Standing.DRAINING, Standing.GONE])
 def test_nothing_new_to_an_office_that_drains_or_is_gone(exchange, new_dialogue, standing):
-    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, standing, None),)), 0)
+    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, standing, None),)))
     assert rules.best_route(exchange, new_dialogue(), 0) is None
     assert rules.best_route(exchange, new_dialogue(destination=2), 0) is exchange.offices["office-2"]
 
 
 def test_office_missing_from_a_whole_list_is_gone_and_a_new_one_takes_its_number(exchange):
     exchange.offices["office-1"].usual = 4.0
-    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, Standing.DRAINING, None),)), 0)
+    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, Standing.DRAINING, None),)))
     entries = (Entry("office-0", 0, Standing.READY, None), Entry("fresh", 1, Standing.READY, SECOND))
-    rules.listed(exchange, Listed(Heard.WHOLE, entries), SECOND)
+    rules.listed(exchange, Listed(Heard.WHOLE, entries))
     assert exchange.offices["office-1"].standing is Standing.GONE
     assert exchange.by_number[1].id == "fresh" and exchange.by_number[1].usual == 4.0
     assert 2 not in exchange.by_number
@@ -294,7 +294,7 @@
 
 def test_failed_discovery_is_asked_again_where_it_must_be(exchange):
     exchange.place = Place(0, 1, True, SECOND)
-    rules.listed(exchange, Listed(Heard.FAILED, ()), 0)
+    rules.listed(exchange, Listed(Heard.FAILED, ()))
     assert Follow() in rules.interval_over(exchange, SECOND)
 
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -40,7 +40,7 @@
         case Opened():
             return opened(x, event)
         case Listed():
-            return listed(x, event, now)
+            return listed(x, event)
         case Arrived():
             return arrived(x, event, now)
         case Stood():
@@ -49,7 +49,7 @@
             return dial_ended(x, event, now)
         case Reported():
             if event.office in x.offices and event.answered:
-                take_report(x.offices[event.office], event.report, now)
+                take_report(x.offices[event.office], event.report)
         case WentAway():
             went_away(x, event)
         case Rang(token) if token == TICK:
@@ -76,13 +76,13 @@
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
 
 
-def listed(x: Exchange, event: Listed, now: int) -> list[Action]:
+def listed(x: Exchange, event: Listed) -> list[Action]:
     """Follow the list. An office missing from a whole list is gone; a new one at a number takes it over."""
     if event.heard is Heard.FAILED:
         x.refollow = x.place.must_ask
         return []
     for entry in event.entries:
-        take_entry(x, entry, now)
+        take_entry(x, entry)
     if event.heard is not Heard.CHANGES:
         named = {entry.office for entry in event.entries}
         for office in x.offices.values():
@@ -90,14 +90,14 @@
                 office.standing = Standing.GONE
     x.by_number = {}
     for office in x.offices.values():
-        if office.standing is Standing.READY:
+        if usable(office):
             held = x.by_number.get(office.number)
             if held is None or (office.started or 0) >= (held.started or 0):
                 x.by_number[office.number] = office
     return []
 
 
-def take_entry(x: Exchange, entry: Entry, now: int) -> None:
+def take_entry(x: Exchange, entry: Entry) -> None:
     """One line of the list. A fresh start forgets the price and the silence of the processor before it."""
     office = x.offices.get(entry.office)
     if office is None:
@@ -177,19 +177,18 @@
     return price * (0.5 + dialogue.chance)
 
 
-def leg_cost(x: Exchange, dialogue: Dialogue, now: int) -> float:
+def leg_cost(x: Exchange, dialogue: Dialogue, payoff: float) -> float:
     """Cost of one leg: a fifth of the least payoff, so that two legs never outweigh a tandem dialogue."""
-    return min(x.unit, payoff_now(x, dialogue, now)) * dialogue.width / 5
+    return min(x.unit, payoff) * dialogue.width / 5
 
 
-def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool, now: int) -> bool:
+def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
     (trunk reservation, exception): one circuit, and one for each 10; by rounds, fewer starved direct ones.
     Late ones are treated alike; a cheap one leaves the last circuit of a group of 20 to dearer ones."""
     if office.size is None:
         return True
-    payoff = payoff_now(x, dialogue, now)
-    kept = 1 + office.size // 10 if alternate or payoff < x.unit else 0
+    kept = 1 + office.size // 10 if alternate else 0
     if dialogue.use_case.payoff < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
@@ -197,25 +196,27 @@
 
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
     """First office of the route with the highest positive net payoff and room; ties go direct."""
-    payoff = payoff_now(x, dialogue, now) - felt(dialogue, x.own_price)
-    leg = leg_cost(x, dialogue, now)
+    payoff = payoff_now(x, dialogue, now)
+    late = payoff < x.unit
+    leg = leg_cost(x, dialogue, payoff)
+    payoff -= felt(dialogue, x.own_price)
     if x.place.number is None:
-        return best_pool(x, dialogue, payoff, leg, now)
+        return best_pool(x, dialogue, payoff, leg, late)
     destination = x.by_number.get(dialogue.destination)
     if destination is None or dialogue.destination == x.place.number:
         return None
     payoff -= felt(dialogue, destination.price)
     if payoff - leg <= 0 or not cold_room(x.cold, destination, now):
         return None
-    if room(x, destination, dialogue, dialogue.transit, now):
+    if room(x, destination, dialogue, dialogue.transit or late):
         return destination if destination not in dialogue.tried else None
-    if dialogue.transit or payoff_now(x, dialogue, now) < x.unit:
+    if dialogue.transit or late:
         return None
     best, best_rank = None, (0.0, False, False, 0)
     for office in x.by_number.values():
         if office is destination or office.number == x.place.number or office in dialogue.tried:
             continue
-        if not room(x, office, dialogue, True, now) or not cold_room(x.cold, office, now):
+        if not room(x, office, dialogue, True) or not cold_room(x.cold, office, now):
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
@@ -227,14 +228,14 @@
     return best
 
 
-def best_pool(x: Exchange, dialogue: Dialogue, payoff: float, leg: float, now: int) -> Office | None:
+def best_pool(x: Exchange, dialogue: Dialogue, payoff: float, leg: float, late: bool) -> Office | None:
     """Pools in place of exchanges: the first choice costs one leg, another of the use case's pools two."""
     best, best_rank = None, (0.0, False, 0)
     for office in x.by_number.values():
         first = office.number == dialogue.destination
         if not first and office.number not in dialogue.use_case.pools:
             continue
-        if office in dialogue.tried or not room(x, office, dialogue, False, now):
+        if office in dialogue.tried or not room(x, office, dialogue, late):
             continue
         rank = (payoff - felt(dialogue, office.price) - (leg if first else 2 * leg), first, office.free)
         if rank > best_rank and rank[0] > 0:
@@ -289,8 +290,9 @@
 def went_away(x: Exchange, event: WentAway) -> None:
     """The caller left: forget the dialogue, and its dial too, whose silence would be a load sign for ever."""
     dialogue = x.dialogues.pop(event.dialogue, None)
-    if dialogue and dialogue.out in (dialogue.out.office.unanswered if dialogue.out else []):
-        dialogue.out.office.unanswered.remove(dialogue.out)
+    dial = dialogue.out if dialogue else None
+    if dial and dial in dial.office.unanswered:
+        dial.office.unanswered.remove(dial)
 
 
 def stood(x: Exchange, event: Stood) -> None:
@@ -313,7 +315,7 @@
 def dial_ended(x: Exchange, event: DialEnded, now: int) -> list[Action]:
     """Put the blame where it belongs, then dial again where that can still pay."""
     if event.office in x.offices:
-        take_report(x.offices[event.office], event.report, now)
+        take_report(x.offices[event.office], event.report)
     dialogue = x.dialogues.get(event.dialogue)
     if not dialogue or event.dial >= len(dialogue.dials):
         return []
@@ -373,7 +375,7 @@
 # ---- prices ----
 
 
-def take_report(office: Office, report: Report, now: int) -> None:
+def take_report(office: Office, report: Report) -> None:
     """Free circuits count at once; the processor's figures are load signs of this interval."""
     if report.free is not None and report.size is not None:
         office.free, office.size = report.free, report.size
@@ -435,8 +437,8 @@
 
 
 def stepped(price: float, load: float | None, unit: float, top: float) -> float:
-    """One step of a price: up over the bound, down toward nought under it, decay unheard. By rounds in
-    all three: slower decay or a higher cap kept offices shut long after their trouble, and under the
+    """One step of a price: up over the bound, down toward nought under it, decay unheard. By rounds on
+    all three sites, slower decay or a higher cap kept offices shut long after their trouble, and under the
     cap of 0.7 of the highest payoff a dear dialogue can always bring a fresh sign."""
     if load is None:
         return price * 0.7 if price > unit / 100 else 0.0
