--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -222,7 +222,7 @@
             continue
         net = payoff - felt(dialogue, office.price) - 2 * leg
         proven = dialogue.destination in office.way_on
-        rank = (net, proven, office.number == dialogue.advised, office.free)
+        rank = (net, office.number == dialogue.advised, proven, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
     return best
