--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -303,6 +303,7 @@
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
     dialogue.called.pause, dialogue.called.first_try = 0, None
+    x.answered.append(event.took)
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
     if dial in dial.office.unanswered:
@@ -388,8 +389,10 @@
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
     delays = {office.id: delay_seen(office, x.bound_delay, now) for office in x.by_number.values()}
-    seen = [delay for delay in delays.values() if delay is not None]
-    own_delay = min(seen) if len(seen) > 1 else None  # what all routes share is the own processor's
+    # What all answers share is the own processor's. Only answers tell it: where few offices are dialled in an
+    # interval, silence from all of them may be lost answers, and would shut the whole exchange.
+    own_delay = min(x.answered) if len(x.answered) > 1 else None
+    x.answered = []
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
     )
