Own delay from the last four answers of a second, silence where there is none

Cause: one answer an interval is no sign under the rule before, so the own price decayed where the own processor was slow.

--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -90,7 +90,7 @@
     dialogues: dict[int, Dialogue] = field(default_factory=dict)
     own_price: float = 0.0
     own_fulls: int = 0
-    answered: list[int] = field(default_factory=list)
+    answered: list[tuple[int, int]] = field(default_factory=list)
     refollow: bool = False
     bound_delay: int = 0
     unit: float = 0.0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -44,7 +44,7 @@
         case Arrived():
             return arrived(x, event, now)
         case Stood():
-            stood(x, event)
+            stood(x, event, now)
         case DialEnded():
             return dial_ended(x, event, now)
         case Reported():
@@ -295,7 +295,7 @@
         dial.office.unanswered.remove(dial)
 
 
-def stood(x: Exchange, event: Stood) -> None:
+def stood(x: Exchange, event: Stood, now: int) -> None:
     """A dial was answered; its delay is a load sign of the processors crossed."""
     dialogue = x.dialogues.get(event.dialogue)
     if not dialogue or event.dial >= len(dialogue.dials):
@@ -303,7 +303,7 @@
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
     dialogue.called.pause, dialogue.called.first_try = 0, None
-    x.answered.append(event.took)
+    x.answered.append((now, event.took))
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
     if dial in dial.office.unanswered:
@@ -389,10 +389,7 @@
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
     delays = {office.id: delay_seen(office, x.bound_delay, now) for office in x.by_number.values()}
-    # What all answers share is the own processor's. Only answers tell it: where few offices are dialled in an
-    # interval, silence from all of them may be lost answers, and would shut the whole exchange.
-    own_delay = min(x.answered) if len(x.answered) > 1 else None
-    x.answered = []
+    own_delay = own_delay_seen(x, now)
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
     )
@@ -426,6 +423,17 @@
     return int(median(office.delays + ages)) if office.delays or ages else None
 
 
+def own_delay_seen(x: Exchange, now: int) -> int | None:
+    """What all routes share is the own processor's: the least of the last four answers of the last second, so
+    that no single quick or slow one tells. Silence counts only where there is no answer at all, for where few
+    offices are dialled, those silent may be lost answers, and would shut the whole exchange."""
+    x.answered = [(at, took) for at, took in x.answered[-4:] if now - at < SECOND]
+    if x.answered:
+        return min(took for _, took in x.answered) if len(x.answered) > 1 else None
+    ages = [now - dial.sent for office in x.by_number.values() for dial in office.unanswered]
+    return min(ages) if len(ages) > 1 else None
+
+
 def load_of(
     bound: int, utilisation: float | None, wait: int | None, delay: int | None, fulls: int
 ) -> float | None:
