--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -424,10 +424,10 @@
 
 
 def own_delay_seen(x: Exchange, now: int) -> int | None:
-    """What all routes share is the own processor's: the least of the last four answers of the last second, so
+    """What all routes share is the own processor's: the least of the last two answers of the last second, so
     that no single quick or slow one tells. Silence counts only where there is no answer at all, for where few
     offices are dialled, those silent may be lost answers, and would shut the whole exchange."""
-    x.answered = [(at, took) for at, took in x.answered[-4:] if now - at < SECOND]
+    x.answered = [(at, took) for at, took in x.answered[-2:] if now - at < SECOND]
     if x.answered:
         return min(took for _, took in x.answered) if len(x.answered) > 1 else None
     ages = [now - dial.sent for office in x.by_number.values() for dial in office.unanswered]
