Load signs by order of sending, answered or still waiting

Cause: at two dozen offices and more each interval holds few signs, so silence of lost answers and slowness of the own processor looked alike. Now each office's sign is the middle of its last three dials, the own one the least of the last four.

--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -16,6 +16,7 @@
     office: Office
     sent: int
     direct: bool
+    took: int | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -61,9 +62,8 @@
     free: int = 0
     size: int | None = None
     price: float = 0.0
-    delays: list[int] = field(default_factory=list)
     fulls: int = 0
-    unanswered: list[Dial] = field(default_factory=list)
+    recent: list[Dial] = field(default_factory=list)
     utilisation: float | None = None
     wait: int | None = None
     sent: int = 0
@@ -90,7 +90,7 @@
     dialogues: dict[int, Dialogue] = field(default_factory=dict)
     own_price: float = 0.0
     own_fulls: int = 0
-    answered: list[tuple[int, int]] = field(default_factory=list)
+    recent: list[Dial] = field(default_factory=list)
     refollow: bool = False
     bound_delay: int = 0
     unit: float = 0.0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -6,7 +6,7 @@
 here at the door and nowhere further in. docs/design.md tells the ordinary path from the exceptions to it.
 """
 
-from statistics import median
+from statistics import median_low
 
 from wellhitch.interface.actions import Action, Follow, Forfeit, PushBack, Send, Wake
 from wellhitch.interface.events import (
@@ -44,14 +44,14 @@
         case Arrived():
             return arrived(x, event, now)
         case Stood():
-            stood(x, event, now)
+            stood(x, event)
         case DialEnded():
             return dial_ended(x, event, now)
         case Reported():
             if event.office in x.offices and event.answered:
                 take_report(x.offices[event.office], event.report)
         case WentAway():
-            went_away(x, event)
+            went_away(x, event, now)
         case Rang(token) if token == TICK:
             return interval_over(x, now)
         case Rang(token):
@@ -107,7 +107,7 @@
                 office.usual = max(office.usual, before.usual)
                 office.free, office.size = before.free, before.size
     elif entry.started != office.started:
-        office.price, office.unanswered = 0.0, []
+        office.price, office.recent = 0.0, []
     office.standing, office.started = entry.standing, entry.started
 
 
@@ -265,8 +265,9 @@
         if crossed in x.by_number:
             x.by_number[crossed].sent += 1
             x.by_number[crossed].budget -= 1
+    x.recent.append(dial)
     if direct:
-        office.unanswered.append(dial)
+        office.recent.append(dial)
     return [Send(dialogue.id, office.id, dialogue.give_up - now)]
 
 
@@ -287,30 +288,34 @@
     return [PushBack(dialogue.id, min(x.permissions.longest_retry_after, dialogue.use_case.agreed_time // 4))]
 
 
-def went_away(x: Exchange, event: WentAway) -> None:
-    """The caller left: forget the dialogue, and its dial too, whose silence would be a load sign for ever."""
+def went_away(x: Exchange, event: WentAway, now: int) -> None:
+    """The caller left: forget the dialogue; its dial must not wait for ever among the load signs."""
     dialogue = x.dialogues.pop(event.dialogue, None)
-    dial = dialogue.out if dialogue else None
-    if dial and dial in dial.office.unanswered:
-        dial.office.unanswered.remove(dial)
+    if dialogue and dialogue.out:
+        no_answer(x, dialogue.out, now - dialogue.out.sent)
 
 
-def stood(x: Exchange, event: Stood, now: int) -> None:
+def no_answer(x: Exchange, dial: Dial, waited: int) -> None:
+    """A dial ended unanswered: silence past the bound is a sign of load, anything else is none."""
+    if dial.took is None and waited > x.bound_delay:
+        dial.took = waited
+    elif dial.took is None:
+        for dials in (x.recent, dial.office.recent):
+            if dial in dials:
+                dials.remove(dial)
+
+
+def stood(x: Exchange, event: Stood) -> None:
     """A dial was answered; its delay is a load sign of the processors crossed."""
     dialogue = x.dialogues.get(event.dialogue)
     if not dialogue or event.dial >= len(dialogue.dials):
         return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
+    dial.took = event.took
     dialogue.called.pause, dialogue.called.first_try = 0, None
-    x.answered.append((now, event.took))
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
-    if dial in dial.office.unanswered:
-        # A processor takes set-ups in order: one sent before an answered one is lost, not waiting, and no
-        # load sign. Without this a few lost dials shut an office that answers the others at once.
-        dial.office.unanswered = [later for later in dial.office.unanswered if later.sent > dial.sent]
-        dial.office.delays.append(event.took)
 
 
 def dial_ended(x: Exchange, event: DialEnded, now: int) -> list[Action]:
@@ -324,10 +329,7 @@
     office = dial.office
     if dialogue.out is dial:
         dialogue.out = None
-    if dial in office.unanswered:
-        office.unanswered.remove(dial)
-        if event.ending is Ending.TIMED_OUT:
-            office.delays.append(now - dial.sent)
+    no_answer(x, dial, now - dial.sent if event.ending is Ending.TIMED_OUT else 0)
     destination = x.by_number.get(dialogue.destination)
     if event.ending is Ending.NOT_SENT:
         x.own_fulls += event.blame is Blame.PROCESSOR_FULL
@@ -388,18 +390,22 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    delays = {office.id: delay_seen(office, x.bound_delay, now) for office in x.by_number.values()}
-    own_delay = own_delay_seen(x, now)
+    # What all routes share is the own processor's: the least of four dials, so that a quick or a lost one among
+    # them does not tell; where few offices are dialled, lost answers alone would else shut the whole exchange.
+    x.recent = fresh(x.recent, now)
+    own_delays = known_delays(x.recent, x.bound_delay, now)[-4:]
+    own_delay = min(own_delays) if len(own_delays) > 1 else None
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
     )
     x.own_fulls = 0
     for office in x.by_number.values():
-        delay = delays[office.id]
+        office.recent = fresh(office.recent, now)
+        delay = delay_seen(office, x.bound_delay, now)
         far = None if delay is None else delay - (own_delay or 0)
         load = load_of(x.bound_delay, office.utilisation, office.wait, far, office.fulls)
         office.price = stepped(office.price, load, x.unit, x.top)
-        office.delays, office.fulls, office.utilisation, office.wait = [], 0, None, None
+        office.fulls, office.utilisation, office.wait = 0, None, None
         if not cold(x.cold, office, now):
             # a mean over some 32 intervals, long against a burst and short against a day
             office.usual += (office.sent * SECOND / INTERVAL - office.usual) / 32
@@ -416,22 +422,29 @@
 BOUND_UTILISATION = 0.9  # the design page's starting bound
 
 
+def fresh(dials: list[Dial], now: int) -> list[Dial]:
+    """Dials still waiting, or of which the delay became known within the last second: four intervals, so that
+    few dials to an office still make a sign."""
+    return [dial for dial in dials if dial.took is None or now - dial.sent - dial.took < SECOND]
+
+
+def known_delays(dials: list[Dial], bound: int, now: int) -> list[int]:
+    """Delays in the order of sending. A dial that waits past the bound counts with its age: silence is
+    evidence, and taking dials as they were sent lets those answered since stand beside it."""
+    return [
+        now - dial.sent if dial.took is None else dial.took
+        for dial in dials
+        if dial.took is not None or now - dial.sent > bound
+    ]
+
+
 def delay_seen(office: Office, bound: int, now: int) -> int | None:
-    """Middle set-up delay of the interval. A dial that waits past the bound counts with its age: silence is
-    evidence, and one lost dial among many answered ones moves the middle little."""
-    ages = [now - dial.sent for dial in office.unanswered if now - dial.sent > bound]
-    return int(median(office.delays + ages)) if office.delays or ages else None
-
-
-def own_delay_seen(x: Exchange, now: int) -> int | None:
-    """What all routes share is the own processor's: the least of the last two answers of the last second, so
-    that no single quick or slow one tells. Silence counts only where there is no answer at all, for where few
-    offices are dialled, those silent may be lost answers, and would shut the whole exchange."""
-    x.answered = [(at, took) for at, took in x.answered[-2:] if now - at < SECOND]
-    if x.answered:
-        return min(took for _, took in x.answered) if len(x.answered) > 1 else None
-    ages = [now - dial.sent for office in x.by_number.values() for dial in office.unanswered]
-    return min(ages) if len(ages) > 1 else None
+    """Middle of the last three delays. One silent dial alone is no sign: its answer may be lost, and an office
+    seldom called would be shut for it."""
+    delays = known_delays(office.recent, bound, now)[-3:]
+    if not delays or (len(delays) == 1 and delays[0] > bound and office.recent[-1].took is None):
+        return None
+    return median_low(delays)
 
 
 def load_of(
