Prices step only on a delay that is new

Cause: a sign kept for a second stepped a price four times. Should also catch a hung own processor among lost answers; may hurt where fewer than two dials go out in a second.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -390,11 +390,12 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    # What all routes share is the own processor's: the least of four dials, so that a quick or a lost one among
-    # them does not tell; where few offices are dialled, lost answers alone would else shut the whole exchange.
+    # What all routes share is the own processor's: the least of the last four dials, so that lost answers alone,
+    # where few offices are dialled, do not shut the whole exchange.
     x.recent = fresh(x.recent, now)
     own_delays = known_delays(x.recent, x.bound_delay, now)[-4:]
-    own_delay = min(own_delays) if len(own_delays) > 1 else None
+    new = len(own_delays) > 1 and news(x.recent, x.bound_delay, now)
+    own_delay = min(own_delays) if new else None
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
     )
@@ -428,6 +429,16 @@
     return [dial for dial in dials if dial.took is None or now - dial.sent - dial.took < SECOND]
 
 
+def news(dials: list[Dial], bound: int, now: int) -> bool:
+    """Whether a delay became known in the interval just over, or a dial waits past the bound."""
+    for dial in dials:
+        if dial.took is None and now - dial.sent > bound:
+            return True
+        if dial.took is not None and now - dial.sent - dial.took < INTERVAL:
+            return True
+    return False
+
+
 def known_delays(dials: list[Dial], bound: int, now: int) -> list[int]:
     """Delays in the order of sending. A dial that waits past the bound counts with its age: silence is
     evidence, and taking dials as they were sent lets those answered since stand beside it."""
@@ -439,8 +450,10 @@
 
 
 def delay_seen(office: Office, bound: int, now: int) -> int | None:
-    """Middle of the last three delays. One silent dial alone is no sign: its answer may be lost, and an office
-    seldom called would be shut for it."""
+    """Middle of the last three delays, if one is new. One silent dial alone is no sign: its answer may be
+    lost, and an office seldom called would be shut for it."""
+    if not news(office.recent, bound, now):
+        return None
     delays = known_delays(office.recent, bound, now)[-3:]
     if not delays or (len(delays) == 1 and delays[0] > bound and office.recent[-1].took is None):
         return None
