--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -390,7 +390,7 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    # What all routes share is the own processor's: the least of the last four dials, so that lost answers alone,
+    # What all routes share is the own processor's: the least of the last four dials, so that lost answers,
     # where few offices are dialled, do not shut the whole exchange.
     x.recent = fresh(x.recent, now)
     own_delays = known_delays(x.recent, x.bound_delay, now)[-4:]
