--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -71,7 +71,7 @@
     budget: float = 0.0
     budget_at: int = 0
     way_on: set[int] = field(default_factory=set)
-    no_way_on: dict[int, tuple[int, int]] = field(default_factory=dict)
+    no_way_on: dict[int, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -194,9 +194,6 @@
     return office.free >= dialogue.width + kept
 
 
-NEVER = (0, 0)  # no rest
-
-
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
     """First office of the route with the highest positive net payoff and room; ties go direct."""
     payoff = payoff_now(x, dialogue, now)
@@ -221,10 +218,12 @@
             continue
         if not room(x, office, dialogue, True) or not cold_room(x.cold, office, now):
             continue
-        if office.no_way_on.get(dialogue.destination, NEVER)[0] > now:
+        if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
         net = payoff - felt(dialogue, office.price) - 2 * leg
         proven = dialogue.destination in office.way_on
+        if len(dialogue.dials) > 1 and not proven:
+            continue
         rank = (net, office.number == dialogue.advised, proven, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
@@ -319,7 +318,6 @@
     dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
-        dial.office.no_way_on.pop(dialogue.destination, None)
 
 
 def dial_ended(x: Exchange, event: DialEnded, now: int) -> list[Action]:
@@ -342,11 +340,8 @@
     elif event.blame is Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
     elif event.blame is Blame.TURNED_BACK:
-        # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits. A
-        # tandem that goes on turning back has no group there, or none to spare: each rest doubles the last,
-        # until one stands.
-        rest = 2 * office.no_way_on.get(dialogue.destination, NEVER)[1] or 5 * SECOND
-        office.no_way_on[dialogue.destination] = now + rest, rest
+        # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
+        office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
     if event.over:
         x.dialogues.pop(dialogue.id, None)
