--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -222,7 +222,8 @@
             continue
         net = payoff - felt(dialogue, office.price) - 2 * leg
         proven = dialogue.destination in office.way_on
-        if len(dialogue.dials) > 1 and not proven:
+        blind = not proven and office.number != dialogue.advised
+        if blind and (len(dialogue.dials) > 1 or dialogue.advised is not None):
             continue
         rank = (net, office.number == dialogue.advised, proven, office.free)
         if rank > best_rank and rank[0] > 0:
