--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -395,9 +395,9 @@
     """Step every price once and start the next interval."""
     # What all routes share is the own processor's: the least of the last four dials, so that lost answers,
     # where few offices are dialled, do not shut the whole exchange.
-    x.recent = [dial for dial in x.recent if now - dial.sent < 2 * SECOND]
+    x.recent = [dial for dial in x.recent if now - dial.sent < SECOND]
     own_delays = known_delays(x.recent, x.bound_delay, now)[-4:]
-    new = len(own_delays) > 2 and news(x.recent, x.bound_delay, now)
+    new = len(own_delays) > 1 and news(x.recent, x.bound_delay, now)
     own_delay = min(own_delays) if new else None
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
