--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -216,7 +216,7 @@
     for office in x.by_number.values():
         if office is destination or office.number == x.place.number or office in dialogue.tried:
             continue
-        if not room(x, office, dialogue, True) or not cold_room(x.cold, office, now):
+        if not room(x, office, dialogue, destination.size != 0) or not cold_room(x.cold, office, now):
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
