Call servers tell peers the room of their groups where no centre advises

A word of one byte an office, each server hearing some ten a second whatever their number. Should also help after lost groups and restarts. May hurt where words cost processors more. Words that are empty, cut or of another form tell nothing.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,6 +14,7 @@
     Heard,
     Listed,
     Opened,
+    PeerSaid,
     Report,
     Reported,
     Standing,
@@ -296,6 +297,31 @@
     assert rules.is_first_try(called, CHEAP, False, False, CHEAP.outer_limit + 1)
 
 
+# words between call servers
+
+
+def test_word_of_a_peer_steers_tandems(exchange, new_dialogue):
+    third = rules.Office("office-3", 3, Standing.READY, None, free=20, size=30)
+    exchange.offices["office-3"] = exchange.by_number[3] = third
+    exchange.by_number[1].free = 0
+    rules.take_word(exchange, PeerSaid(9, bytes((rules.FORM, 2, 0, 0))), SECOND)
+    assert rules.best_route(exchange, new_dialogue(), SECOND) is third
+    rules.take_word(exchange, PeerSaid(9, bytes((rules.FORM, 2, 0, 5))), SECOND)
+    assert rules.best_route(exchange, new_dialogue(), SECOND).number == 2
+    assert rules.told_room(exchange, exchange.by_number[2], 1, 9 * SECOND) is None
+
+
+@pytest.mark.parametrize("text", [b"", b"\x01", b"\x02\x01\x00\x05", b"\x01\x63\x05"])
+def test_word_that_is_empty_cut_or_unknown_tells_nothing(exchange, text):
+    rules.take_word(exchange, PeerSaid(9, text), SECOND)
+    assert not any(office.told for office in exchange.offices.values())
+
+
+def test_word_tells_room_beyond_what_is_kept(exchange):
+    exchange.by_number[2].free = 2
+    assert rules.word(exchange) == bytes((rules.FORM, 0, 26, 26, 0))
+
+
 # start, chance and discovery
 
 
--- a/wellhitch/adapter/codec.py
+++ b/wellhitch/adapter/codec.py
@@ -107,6 +107,7 @@
             peers=max(0, int(told.get("balancers", 1)) - 1),
             must_ask=told.get("discovery") == "ask",
             ask_within=micros(rules.get("ask_within_ns")),
+            advised=bool(family.get("centre_advises")),
         ),
         permissions=facts.Permissions(
             most_dials=int(limits.get("most_tries", 1)),
@@ -162,6 +163,14 @@
     return events.Reported(m[2], bool(m[4]), m[3] == "Ok", read_report(m[5]))
 
 
+def read_bytes(digits: Any) -> bytes:
+    """Bytes of a peer's message; what is no hex is read as an empty one."""
+    try:
+        return bytes.fromhex(digits or "")
+    except (TypeError, ValueError):
+        return b""
+
+
 READERS: dict[str, Callable[[list[Any]], events.Event]] = {
     "Ingress": read_arrived,
     "Started": lambda m: events.Stood(m[2], m[3], micros(m[5])),
@@ -169,7 +178,7 @@
     "Verdict": read_ended,
     "Left": lambda m: events.WentAway(m[2]),
     "TickDue": lambda m: events.Rang(m[2]),
-    "Heard": lambda m: events.PeerSaid(m[2], bytes.fromhex(m[3] or "")),
+    "Heard": lambda m: events.PeerSaid(m[2], read_bytes(m[3])),
 }
 LENGTHS = {"Ingress": 12, "Started": 6, "HealthResult": 6, "Left": 3, "TickDue": 3, "Heard": 4, "Verdict": 10}
 
--- a/wellhitch/interface/facts.py
+++ b/wellhitch/interface/facts.py
@@ -21,12 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Where this call server stands; `number` is None where the offices are pools."""
+    """Where this call server stands; `number` is None where the offices are pools, `advised` tells of a
+    centre that names a tandem with each dialogue."""
 
     number: int | None
     peers: int
     must_ask: bool
     ask_within: int
+    advised: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -71,6 +71,8 @@
     budget: float = 0.0
     budget_at: int = 0
     way_on: set[int] = field(default_factory=set)
+    told: list[int] = field(default_factory=list)
+    told_at: int = 0
     no_way_on: dict[int, int] = field(default_factory=dict)
 
 
@@ -92,6 +94,7 @@
     own_fulls: int = 0
     recent: list[Dial] = field(default_factory=list)
     refollow: bool = False
+    tell_at: int = 0
     bound_delay: int = 0
     unit: float = 0.0
     top: float = 0.0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -8,7 +8,7 @@
 
 from statistics import median_low
 
-from wellhitch.interface.actions import Action, Follow, Forfeit, PushBack, Send, Wake
+from wellhitch.interface.actions import Action, Follow, Forfeit, PushBack, Send, TellPeers, Wake
 from wellhitch.interface.events import (
     Arrived,
     Blame,
@@ -19,6 +19,7 @@
     Heard,
     Listed,
     Opened,
+    PeerSaid,
     Rang,
     Report,
     Reported,
@@ -38,7 +39,7 @@
     """Take what happened, return what to do."""
     match event:
         case Opened():
-            return opened(x, event)
+            return opened(x, event, now)
         case Listed():
             return listed(x, event)
         case Arrived():
@@ -50,6 +51,8 @@
         case Reported():
             if event.office in x.offices and event.answered:
                 take_report(x.offices[event.office], event.report)
+        case PeerSaid():
+            take_word(x, event, now)
         case WentAway():
             went_away(x, event, now)
         case Rang(token) if token == TICK:
@@ -64,7 +67,7 @@
 # ---- start and list ----
 
 
-def opened(x: Exchange, event: Opened) -> list[Action]:
+def opened(x: Exchange, event: Opened, now: int) -> list[Action]:
     """Remember the facts and start the interval."""
     x.chance = event.seed
     x.use_cases = {use.name: use for use in event.use_cases}
@@ -73,6 +76,7 @@
     # Two processors at their bound take half the shortest agreed time; the rest is left to chance.
     x.bound_delay = min((use.agreed_time for use in event.use_cases), default=SECOND) // 4
     x.top = max((use.payoff for use in event.use_cases), default=1.0)
+    x.tell_at = now + int(draw(x) * tell_period(event.place.peers))  # not all at once
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
 
 
@@ -188,12 +192,17 @@
     Late ones are treated alike; a cheap one leaves the last circuit of a group of 20 to dearer ones."""
     if office.size is None:
         return True
-    kept = 1 + office.size // 10 if alternate else 0
+    kept = kept_back(office) if alternate else 0
     if dialogue.use_case.payoff < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
 
 
+def kept_back(office: Office) -> int:
+    """Circuits of its group that are kept for direct dialogues."""
+    return 1 + (office.size or 0) // 10
+
+
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
     """First office of the route with the highest positive net payoff and room; ties go direct."""
     payoff = payoff_now(x, dialogue, now)
@@ -212,20 +221,21 @@
         return destination if destination not in dialogue.tried else None
     if dialogue.transit or late:
         return None
-    best, best_rank = None, (0.0, False, False, 0)
+    best, best_rank = None, (0.0, False, 0, False, 0)
     for office in x.by_number.values():
         if office is destination or office.number == x.place.number or office in dialogue.tried:
             continue
-        if not room(x, office, dialogue, destination.size != 0) or not cold_room(x.cold, office, now):
+        if not room(x, office, dialogue, True) or not cold_room(x.cold, office, now):
             continue
         if office.no_way_on.get(dialogue.destination, 0) > now:
             continue
         net = payoff - felt(dialogue, office.price) - 2 * leg
         proven = dialogue.destination in office.way_on
-        blind = not proven and office.number != dialogue.advised
-        if blind and (len(dialogue.dials) > 1 or dialogue.advised is not None):
+        told = told_room(x, office, dialogue.destination, now)
+        blind = not proven and office.number != dialogue.advised and not told
+        if blind and (len(dialogue.dials) > 1 or dialogue.advised is not None or told == 0):
             continue
-        rank = (net, office.number == dialogue.advised, proven, office.free)
+        rank = (net, office.number == dialogue.advised, min(told or 0, office.free), proven, office.free)
         if rank > best_rank and rank[0] > 0:
             best, best_rank = office, rank
     return best
@@ -264,6 +274,8 @@
     dialogue.dials.append(dial)
     dialogue.out = dial
     office.free -= dialogue.width
+    if not direct and dialogue.destination < len(office.told):
+        office.told[dialogue.destination] = max(0, office.told[dialogue.destination] - dialogue.width)
     for crossed in {office.number, dialogue.destination}:
         if crossed in x.by_number:
             x.by_number[crossed].sent += 1
@@ -417,6 +429,9 @@
     # A number not called for a minute is forgotten; by then its lines have changed hands.
     x.called = {key: called for key, called in x.called.items() if now - called.called_at < 60 * SECOND}
     out: list[Action] = [Wake(INTERVAL, TICK)]
+    if x.permissions.may_tell_peers and not x.place.advised and x.place.peers and now >= x.tell_at:
+        x.tell_at = now + tell_period(x.place.peers)
+        out.append(TellPeers(word(x)))
     if x.refollow:
         x.refollow = False
         out.append(Follow())
@@ -487,6 +502,40 @@
     return max(0.0, price - (unit + price) * 0.2 * (1 - load))
 
 
+# ---- words between call servers (exception: only where a tandem's second group is told by nobody else) ----
+
+FORM = 1  # first byte of a word; another form is skipped
+
+
+def tell_period(peers: int) -> int:
+    """How often to tell: each call server hears some ten words a second, whatever their number, as each costs
+    it work; never more than one a second from one, as circuits are held for many."""
+    return max(SECOND, peers * SECOND // 10)
+
+
+def word(x: Exchange) -> bytes:
+    """Form, own number, then for each number how many dialogues in transit its group would take."""
+    spare = bytearray(min(max(x.by_number, default=-1) + 1, 254))
+    for number, office in x.by_number.items():
+        if 0 <= number < len(spare):
+            spare[number] = max(0, min(255, office.free - kept_back(office)))
+    return bytes((FORM, x.place.number or 0)) + spare
+
+
+def take_word(x: Exchange, event: PeerSaid, now: int) -> None:
+    """A peer told its groups' room; what is empty, cut short or of another form tells nothing."""
+    if len(event.text) > 1 and event.text[0] == FORM and event.text[1] in x.by_number:
+        office = x.by_number[event.text[1]]
+        office.told, office.told_at = list(event.text[2:]), now
+
+
+def told_room(x: Exchange, office: Office, destination: int, now: int) -> int | None:
+    """Dialogues that the tandem's second group would take, or None where it was not told of late."""
+    if destination >= len(office.told) or now - office.told_at > 3 * tell_period(x.place.peers):
+        return None
+    return office.told[destination]
+
+
 # ---- cold offices ----
 
 
