Early time-out and redial where nothing crossed is priced

Conclusion: right in kind; at the onset of a slow spell the price is nought when the dial goes out, and set-ups are sent twice.

--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -93,6 +93,7 @@
     own_price: float = 0.0
     own_fulls: int = 0
     recent: list[Dial] = field(default_factory=list)
+    usual_delay: int = 0
     refollow: bool = False
     tell_at: int = 0
     bound_delay: int = 0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -283,7 +283,19 @@
     x.recent.append(dial)
     if direct:
         office.recent.append(dial)
-    return [Send(dialogue.id, office.id, dialogue.give_up - now)]
+    return [Send(dialogue.id, office.id, patience(x, dialogue, office, now))]
+
+
+def patience(x: Exchange, dialogue: Dialogue, office: Office, now: int) -> int:
+    """How long a dial may wait: to the caller's limit, but where no processor crossed is priced, silence means a
+    lost answer (exception). Then half the agreed time left, if that is four times the usual delay and leaves
+    time to dial again after the release wait; a pressed processor would only get its set-up twice."""
+    left = dialogue.give_up - now
+    crossed = (x.own_price, office.price, x.by_number[dialogue.destination].price)
+    early = (dialogue.first_try + dialogue.use_case.agreed_time - now - x.release.release_wait) // 2
+    if dialogue.transit or len(dialogue.dials) > 1 or any(crossed) or not 4 * x.usual_delay < early < left:
+        return left
+    return early
 
 
 def may_repeat(dialogue: Dialogue, now: int) -> bool:
@@ -328,6 +340,7 @@
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
     dial.took = event.took
+    x.usual_delay += (event.took - x.usual_delay) // 16
     dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
         dial.office.way_on.add(dialogue.destination)
