Silent dials called off at half the agreed time if nothing crossed is priced then

Catches any loss on the way back, also a hung tandem. May hurt where the far end keeps working on what was called off: one more set-up.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 from conftest import CHEAP, DEAR, SECOND
 
 from wellhitch import rules
-from wellhitch.interface.actions import Follow, Forfeit, PushBack, Send, Wake
+from wellhitch.interface.actions import Cancel, Follow, Forfeit, PushBack, Send, Wake
 from wellhitch.interface.events import (
     Arrived,
     Blame,
@@ -204,6 +204,27 @@
     assert [n for n in (1, 2) if exchange.by_number[n].fulls] == ([blamed] if blamed else [])
 
 
+def test_silent_dial_is_called_off_in_time_to_dial_again_unless_a_processor_is_priced(
+    exchange, new_dialogue, dial_out
+):
+    dial = dial_out(new_dialogue())  # agreed time 2 s, release wait 0.3 s
+    exchange.usual_delay = 100_000
+    assert not rules.answer_lost(exchange, dial, 700_000)
+    assert rules.answer_lost(exchange, dial, 800_000)
+    assert not rules.answer_lost(exchange, dial, 1_600_000)
+    exchange.usual_delay = 250_000
+    assert not rules.answer_lost(exchange, dial, 800_000)
+    exchange.usual_delay, exchange.by_number[1].price = 100_000, 0.1
+    assert not rules.answer_lost(exchange, dial, 800_000)
+
+
+def test_interval_calls_off_a_lost_dial_and_leaves_standing_ones(exchange, new_dialogue, dial_out):
+    lost, stands = dial_out(new_dialogue()), dial_out(new_dialogue(destination=2), 2)
+    exchange.waiting, stands.took = [lost, stands], 50_000
+    assert Cancel(lost.dialogue.id, 0) in rules.interval_over(exchange, 900_000)
+    assert exchange.waiting == [lost]
+
+
 # routes
 
 
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -94,6 +94,7 @@
     own_fulls: int = 0
     recent: list[Dial] = field(default_factory=list)
     usual_delay: int = 0
+    waiting: list[Dial] = field(default_factory=list)
     refollow: bool = False
     tell_at: int = 0
     bound_delay: int = 0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -8,7 +8,7 @@
 
 from statistics import median_low
 
-from wellhitch.interface.actions import Action, Follow, Forfeit, PushBack, Send, TellPeers, Wake
+from wellhitch.interface.actions import Action, Cancel, Follow, Forfeit, PushBack, Send, TellPeers, Wake
 from wellhitch.interface.events import (
     Arrived,
     Blame,
@@ -283,19 +283,24 @@
     x.recent.append(dial)
     if direct:
         office.recent.append(dial)
-    return [Send(dialogue.id, office.id, patience(x, dialogue, office, now))]
+    if x.permissions.may_cancel and not dialogue.transit:
+        x.waiting.append(dial)
+    return [Send(dialogue.id, office.id, dialogue.give_up - now)]
 
 
-def patience(x: Exchange, dialogue: Dialogue, office: Office, now: int) -> int:
-    """How long a dial may wait: to the caller's limit, but where no processor crossed is priced, silence means a
-    lost answer (exception). Then half the agreed time left, if that is four times the usual delay and leaves
-    time to dial again after the release wait; a pressed processor would only get its set-up twice."""
-    left = dialogue.give_up - now
-    crossed = (x.own_price, office.price, x.by_number[dialogue.destination].price)
-    early = (dialogue.first_try + dialogue.use_case.agreed_time - now - x.release.release_wait) // 2
-    if dialogue.transit or len(dialogue.dials) > 1 or any(crossed) or not 4 * x.usual_delay < early < left:
-        return left
-    return early
+def answer_lost(x: Exchange, dial: Dial, now: int) -> bool:
+    """Whether a silent dial's answer is taken for lost (exception), to be called off and dialled again: no
+    processor crossed is priced, four times the usual delay has passed, and so has half the agreed time that
+    the release wait leaves, but enough is left to stand. A pressed processor would get its set-up twice."""
+    dialogue = dial.dialogue
+    destination = x.by_number.get(dialogue.destination)
+    if destination is None or x.own_price or dial.office.price or destination.price:
+        return False
+    agreed = dialogue.first_try + dialogue.use_case.agreed_time
+    half = (agreed - dial.sent - x.release.release_wait) // 2
+    if now - dial.sent < max(4 * x.usual_delay, half - INTERVAL // 2, x.bound_delay):
+        return False
+    return now + x.release.release_wait + x.usual_delay < min(agreed, dialogue.give_up)
 
 
 def may_repeat(dialogue: Dialogue, now: int) -> bool:
@@ -357,7 +362,7 @@
     office = dial.office
     if dialogue.out is dial:
         dialogue.out = None
-    no_answer(x, dial, now - dial.sent if event.ending is Ending.TIMED_OUT else 0)
+    no_answer(x, dial, now - dial.sent if event.ending in (Ending.TIMED_OUT, Ending.CANCELLED) else 0)
     destination = x.by_number.get(dialogue.destination)
     if event.ending is Ending.NOT_SENT:
         x.own_fulls += event.blame is Blame.PROCESSOR_FULL
@@ -442,6 +447,10 @@
     # A number not called for a minute is forgotten; by then its lines have changed hands.
     x.called = {key: called for key, called in x.called.items() if now - called.called_at < 60 * SECOND}
     out: list[Action] = [Wake(INTERVAL, TICK)]
+    x.waiting = [dial for dial in x.waiting if dial.took is None and dial.dialogue.out is dial]
+    for dial in x.waiting:
+        if answer_lost(x, dial, now):
+            out.append(Cancel(dial.dialogue.id, len(dial.dialogue.dials) - 1))
     if x.permissions.may_tell_peers and not x.place.advised and x.place.peers and now >= x.tell_at:
         x.tell_at = now + tell_period(x.place.peers)
         out.append(TellPeers(word(x)))
