--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -17,6 +17,7 @@
     sent: int
     direct: bool
     took: int | None = None
+    answered: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -344,7 +344,7 @@
         return
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
-    dial.took = event.took
+    dial.took, dial.answered = event.took, True
     x.usual_delay += (event.took - x.usual_delay) // 16
     dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
@@ -423,12 +423,8 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    # What all routes share is the own processor's: the least of the last four dials, so that lost answers,
-    # where few offices are dialled, do not shut the whole exchange.
-    x.recent = [dial for dial in x.recent if now - dial.sent < SECOND]
-    own_delays = known_delays(x.recent, x.bound_delay, now)[-4:]
-    new = len(own_delays) > 1 and news(x.recent, x.bound_delay, now)
-    own_delay = min(own_delays) if new else None
+    x.recent = fresh(x.recent, now)
+    own_delay = own_delay_seen(x.recent, x.bound_delay, now)
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
     )
@@ -500,6 +496,15 @@
     return median_low(delays)
 
 
+def own_delay_seen(dials: list[Dial], bound: int, now: int) -> int | None:
+    """What all routes share is the own processor's: the least of the last four delays. It takes dials in order,
+    so silence that a later dial's answer has overtaken is some other's: a lost answer, or a hung office."""
+    at = max((n for n, dial in enumerate(dials) if dial.answered), default=0)
+    since = [dial for dial in dials[:at] if dial.answered] + dials[at:]
+    delays = known_delays(since, bound, now)[-4:]
+    return min(delays) if len(delays) > 1 and news(since, bound, now) else None
+
+
 def load_of(
     bound: int, utilisation: float | None, wait: int | None, delay: int | None, fulls: int
 ) -> float | None:
