--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -502,7 +502,7 @@
     at = max((n for n, dial in enumerate(dials) if dial.answered), default=0)
     since = [dial for dial in dials[:at] if dial.answered] + dials[at:]
     delays = known_delays(since, bound, now)[-4:]
-    return min(delays) if len(delays) > 1 and news(since, bound, now) else None
+    return min(delays) if len(delays) > 2 and news(since, bound, now) else None
 
 
 def load_of(
