A dial not sent gives its circuits back and goes another way

Cause: in the first second, while the far call server had not started, one dialogue was dialled five times by the same group, each taking a circuit off the count that no report gave back. Should also help after restarts.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -228,6 +228,15 @@
 # routes
 
 
+def test_dial_not_sent_gives_its_circuits_back_and_goes_another_way(exchange, new_dialogue, dial_out):
+    dialogue = new_dialogue()
+    dial_out(dialogue)
+    exchange.by_number[1].free = 5
+    event = ended(dialogue, "office-1", Ending.NOT_SENT, Blame.NO_CIRCUIT)
+    assert rules.dial_ended(exchange, event, SECOND)[0].office == "office-2"
+    assert exchange.by_number[1].free == 6
+
+
 def test_direct_first_then_tandem_then_pushed_back(exchange, new_dialogue):
     dialogue = new_dialogue()
     assert rules.best_route(exchange, dialogue, 0).number == 1
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -366,6 +366,7 @@
     destination = x.by_number.get(dialogue.destination)
     if event.ending is Ending.NOT_SENT:
         x.own_fulls += event.blame is Blame.PROCESSOR_FULL
+        office.free += dialogue.width  # nothing was taken, and no report need follow
     elif event.blame is Blame.PROCESSOR_FULL or event.ending is Ending.UNREACHABLE:
         office.fulls += 1
     elif event.blame is Blame.FAR_PROCESSOR_FULL and destination:
@@ -394,7 +395,7 @@
         return give_up(x, dialogue, now)
     if event.blame is Blame.PROCESSOR_FULL and (dial.direct or event.ending is Ending.NOT_SENT):
         return give_up(x, dialogue, now)
-    if event.ending in (Ending.FULL, Ending.UNREACHABLE):
+    if event.ending in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT):
         dialogue.tried.append(office)
     return place_dialogue(x, dialogue, now)
 
