--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -173,7 +173,7 @@
 
 
 def test_delay_common_to_all_dials_prices_the_own_processor(exchange, new_dialogue, dial_out):
-    for number in (1, 2):
+    for number in (1, 2, 1):
         dial_out(new_dialogue(destination=number), number).took = SECOND - 1
     rules.interval_over(exchange, SECOND - 1)
     assert exchange.own_price > 0 and exchange.by_number[1].price == 0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -217,8 +217,8 @@
     payoff -= felt(dialogue, destination.price)
     if payoff - leg <= 0 or not cold_room(x.cold, destination, now):
         return None
-    if room(x, destination, dialogue, dialogue.transit or late):
-        return destination if destination not in dialogue.tried else None
+    if destination not in dialogue.tried and room(x, destination, dialogue, dialogue.transit or late):
+        return destination
     if dialogue.transit or late:
         return None
     best, best_rank = None, (0.0, False, 0, False, 0)
@@ -391,9 +391,10 @@
             return give_up(x, dialogue, now)
     if event.blame is Blame.LINES_BUSY:
         lines_busy(dialogue.called, now)
-    if event.blame in (Blame.LINES_BUSY, Blame.FAR_PROCESSOR_FULL):
-        return give_up(x, dialogue, now)
-    if event.blame is Blame.PROCESSOR_FULL and (dial.direct or event.ending is Ending.NOT_SENT):
+    full = event.blame is Blame.PROCESSOR_FULL or event.ending is Ending.UNREACHABLE
+    if event.blame in (Blame.LINES_BUSY, Blame.FAR_PROCESSOR_FULL) or (
+        full and (dial.direct or event.ending is Ending.NOT_SENT)
+    ):
         return give_up(x, dialogue, now)
     if event.ending in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT):
         dialogue.tried.append(office)
@@ -437,8 +438,9 @@
         load = load_of(x.bound_delay, office.utilisation, office.wait, far, office.fulls)
         office.price = stepped(office.price, load, x.unit, x.top)
         office.fulls, office.utilisation, office.wait = 0, None, None
-        if not cold(x.cold, office, now):
-            # a mean over some 32 intervals, long against a burst and short against a day
+        if not cold(x.cold, office, now) and not office.price and not x.own_price:
+            # A mean over some 32 intervals, long against a burst and short against a day; what a priced
+            # processor gets is not usual, and would starve it when it comes back cold.
             office.usual += (office.sent * SECOND / INTERVAL - office.usual) / 32
         office.sent = 0
     # A number not called for a minute is forgotten; by then its lines have changed hands.
@@ -498,8 +500,8 @@
 
 
 def own_delay_seen(dials: list[Dial], bound: int, now: int) -> int | None:
-    """What all routes share is the own processor's: the least of the last four delays. It takes dials in order,
-    so silence that a later dial's answer has overtaken is some other's: a lost answer, or a hung office."""
+    """What all routes share is the own processor's: the least of the last four delays. Dials are taken in
+    order, so silence that a later dial's answer has overtaken is not its: a lost answer, or a hung office."""
     at = max((n for n, dial in enumerate(dials) if dial.answered), default=0)
     since = [dial for dial in dials[:at] if dial.answered] + dials[at:]
     delays = known_delays(since, bound, now)[-4:]
