--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,6 +15,7 @@
     Listed,
     Opened,
     PeerSaid,
+    Rang,
     Report,
     Reported,
     Standing,
@@ -53,7 +54,7 @@
     assert rules.decide(exchange, ended(gone, "office-1", Ending.RESET), SECOND) == []
     assert rules.decide(exchange, Stood(gone.id, 0, 5), SECOND) == []
     assert rules.decide(exchange, WentAway(gone.id), SECOND) == []
-    assert rules.decide(exchange, rules.Rang(gone.id + 1), SECOND) == []
+    assert rules.decide(exchange, Rang(gone.id + 1), SECOND) == []
     assert rules.decide(exchange, Reported("nowhere", True, True, NOTHING), SECOND) == []
 
 
@@ -81,7 +82,7 @@
 def test_a_timer_does_not_dial_while_a_dial_is_out(exchange, new_dialogue, dial_out):
     dialogue = new_dialogue()
     dial_out(dialogue)
-    assert rules.decide(exchange, rules.Rang(dialogue.id + 1), SECOND) == []
+    assert rules.decide(exchange, Rang(dialogue.id + 1), SECOND) == []
 
 
 def test_no_more_dials_than_allowed(exchange, new_dialogue, dial_out):
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -8,25 +8,8 @@
 
 from statistics import median_low
 
+from wellhitch.interface import events as ev
 from wellhitch.interface.actions import Action, Cancel, Follow, Forfeit, PushBack, Send, TellPeers, Wake
-from wellhitch.interface.events import (
-    Arrived,
-    Blame,
-    DialEnded,
-    Ending,
-    Entry,
-    Event,
-    Heard,
-    Listed,
-    Opened,
-    PeerSaid,
-    Rang,
-    Report,
-    Reported,
-    Standing,
-    Stood,
-    WentAway,
-)
 from wellhitch.interface.facts import ColdRule, UseCase
 from wellhitch.interface.state import CalledNumber, Dial, Dialogue, Exchange, Office
 
@@ -35,29 +18,29 @@
 TICK = 0  # token of the interval's timer; a dialogue's timer is its id + 1
 
 
-def decide(x: Exchange, event: Event, now: int) -> list[Action]:
+def decide(x: Exchange, event: ev.Event, now: int) -> list[Action]:
     """Take what happened, return what to do."""
     match event:
-        case Opened():
+        case ev.Opened():
             return opened(x, event, now)
-        case Listed():
+        case ev.Listed():
             return listed(x, event)
-        case Arrived():
+        case ev.Arrived():
             return arrived(x, event, now)
-        case Stood():
+        case ev.Stood():
             stood(x, event)
-        case DialEnded():
+        case ev.DialEnded():
             return dial_ended(x, event, now)
-        case Reported():
+        case ev.Reported():
             if event.office in x.offices and event.answered:
                 take_report(x.offices[event.office], event.report)
-        case PeerSaid():
+        case ev.PeerSaid():
             take_word(x, event, now)
-        case WentAway():
+        case ev.WentAway():
             went_away(x, event, now)
-        case Rang(token) if token == TICK:
+        case ev.Rang(token) if token == TICK:
             return interval_over(x, now)
-        case Rang(token):
+        case ev.Rang(token):
             dialogue = x.dialogues.get(token - 1)
             if dialogue and not dialogue.out and not dialogue.stands:
                 return place_dialogue(x, dialogue, now)
@@ -67,7 +50,7 @@
 # ---- start and list ----
 
 
-def opened(x: Exchange, event: Opened, now: int) -> list[Action]:
+def opened(x: Exchange, event: ev.Opened, now: int) -> list[Action]:
     """Remember the facts and start the interval."""
     x.chance = event.seed
     x.use_cases = {use.name: use for use in event.use_cases}
@@ -80,18 +63,18 @@
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
 
 
-def listed(x: Exchange, event: Listed) -> list[Action]:
+def listed(x: Exchange, event: ev.Listed) -> list[Action]:
     """Follow the list. An office missing from a whole list is gone; a new one at a number takes it over."""
-    if event.heard is Heard.FAILED:
+    if event.heard is ev.Heard.FAILED:
         x.refollow = x.place.must_ask
         return []
     for entry in event.entries:
         take_entry(x, entry)
-    if event.heard is not Heard.CHANGES:
+    if event.heard is not ev.Heard.CHANGES:
         named = {entry.office for entry in event.entries}
         for office in x.offices.values():
             if office.id not in named:
-                office.standing = Standing.GONE
+                office.standing = ev.Standing.GONE
     x.by_number = {}
     for office in x.offices.values():
         if usable(office):
@@ -101,7 +84,7 @@
     return []
 
 
-def take_entry(x: Exchange, entry: Entry) -> None:
+def take_entry(x: Exchange, entry: ev.Entry) -> None:
     """One line of the list. A fresh start forgets the price and the silence of the processor before it."""
     office = x.offices.get(entry.office)
     if office is None:
@@ -117,7 +100,7 @@
 
 def usable(office: Office) -> bool:
     """Rule 3: nothing new goes to an office that drains or is gone, from the moment this is heard."""
-    return office.standing is Standing.READY
+    return office.standing is ev.Standing.READY
 
 
 # ---- chance ----
@@ -132,7 +115,7 @@
 # ---- a dialogue's way ----
 
 
-def arrived(x: Exchange, event: Arrived, now: int) -> list[Action]:
+def arrived(x: Exchange, event: ev.Arrived, now: int) -> list[Action]:
     """Take a dialogue over and decide on it at once."""
     use = x.use_cases[event.use_case]
     called = x.called.get(event.called or "") or CalledNumber()
@@ -320,7 +303,7 @@
     return [PushBack(dialogue.id, min(x.permissions.longest_retry_after, dialogue.use_case.agreed_time // 4))]
 
 
-def went_away(x: Exchange, event: WentAway, now: int) -> None:
+def went_away(x: Exchange, event: ev.WentAway, now: int) -> None:
     """The caller left: forget the dialogue; its dial must not wait for ever among the load signs."""
     dialogue = x.dialogues.pop(event.dialogue, None)
     if dialogue and dialogue.out:
@@ -337,7 +320,7 @@
                 dials.remove(dial)
 
 
-def stood(x: Exchange, event: Stood) -> None:
+def stood(x: Exchange, event: ev.Stood) -> None:
     """A dial was answered; its delay is a load sign of the processors crossed."""
     dialogue = x.dialogues.get(event.dialogue)
     if not dialogue or event.dial >= len(dialogue.dials):
@@ -351,7 +334,7 @@
         dial.office.way_on.add(dialogue.destination)
 
 
-def dial_ended(x: Exchange, event: DialEnded, now: int) -> list[Action]:
+def dial_ended(x: Exchange, event: ev.DialEnded, now: int) -> list[Action]:
     """Put the blame where it belongs, then dial again where that can still pay."""
     if event.office in x.offices:
         take_report(x.offices[event.office], event.report)
@@ -362,16 +345,16 @@
     office = dial.office
     if dialogue.out is dial:
         dialogue.out = None
-    no_answer(x, dial, now - dial.sent if event.ending in (Ending.TIMED_OUT, Ending.CANCELLED) else 0)
+    no_answer(x, dial, now - dial.sent if event.ending in (ev.Ending.TIMED_OUT, ev.Ending.CANCELLED) else 0)
     destination = x.by_number.get(dialogue.destination)
-    if event.ending is Ending.NOT_SENT:
-        x.own_fulls += event.blame is Blame.PROCESSOR_FULL
+    if event.ending is ev.Ending.NOT_SENT:
+        x.own_fulls += event.blame is ev.Blame.PROCESSOR_FULL
         office.free += dialogue.width  # nothing was taken, and no report need follow
-    elif event.blame is Blame.PROCESSOR_FULL or event.ending is Ending.UNREACHABLE:
+    elif event.blame is ev.Blame.PROCESSOR_FULL or event.ending is ev.Ending.UNREACHABLE:
         office.fulls += 1
-    elif event.blame is Blame.FAR_PROCESSOR_FULL and destination:
+    elif event.blame is ev.Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
-    elif event.blame is Blame.TURNED_BACK:
+    elif event.blame is ev.Blame.TURNED_BACK:
         # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
@@ -381,22 +364,22 @@
     if dialogue.stands:
         return give_up(x, dialogue, now)
     if (
-        event.ending not in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT)
+        event.ending not in (ev.Ending.FULL, ev.Ending.UNREACHABLE, ev.Ending.NOT_SENT)
         and dialogue.may_have_run is None
     ):
         dialogue.may_have_run = dial.sent
-    if event.ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED):
+    if event.ending in (ev.Ending.TIMED_OUT, ev.Ending.RESET, ev.Ending.CANCELLED):
         dialogue.not_before = now + x.release.release_wait
         if dialogue.not_before >= dialogue.give_up:
             return give_up(x, dialogue, now)
-    if event.blame is Blame.LINES_BUSY:
+    if event.blame is ev.Blame.LINES_BUSY:
         lines_busy(dialogue.called, now)
-    full = event.blame is Blame.PROCESSOR_FULL or event.ending is Ending.UNREACHABLE
-    if event.blame in (Blame.LINES_BUSY, Blame.FAR_PROCESSOR_FULL) or (
-        full and (dial.direct or event.ending is Ending.NOT_SENT)
+    full = event.blame is ev.Blame.PROCESSOR_FULL or event.ending is ev.Ending.UNREACHABLE
+    if event.blame in (ev.Blame.LINES_BUSY, ev.Blame.FAR_PROCESSOR_FULL) or (
+        full and (dial.direct or event.ending is ev.Ending.NOT_SENT)
     ):
         return give_up(x, dialogue, now)
-    if event.ending in (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT):
+    if event.ending in (ev.Ending.FULL, ev.Ending.UNREACHABLE, ev.Ending.NOT_SENT):
         dialogue.tried.append(office)
     return place_dialogue(x, dialogue, now)
 
@@ -413,7 +396,7 @@
 # ---- prices ----
 
 
-def take_report(office: Office, report: Report) -> None:
+def take_report(office: Office, report: ev.Report) -> None:
     """Free circuits count at once; the processor's figures are load signs of this interval."""
     if report.free is not None and report.size is not None:
         office.free, office.size = report.free, report.size
@@ -552,7 +535,7 @@
     return bytes((FORM, x.place.number or 0)) + spare
 
 
-def take_word(x: Exchange, event: PeerSaid, now: int) -> None:
+def take_word(x: Exchange, event: ev.PeerSaid, now: int) -> None:
     """A peer told its groups' room; what is empty, cut short or of another form tells nothing."""
     if len(event.text) > 1 and event.text[0] == FORM and event.text[1] in x.by_number:
         office = x.by_number[event.text[1]]
