Cold budget at the whole multiple of the usual share

The office's own callers and what it sends come on top of what it is sent, so the others' share stays well under the multiple.

--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -565,7 +565,7 @@
     grown = max(0.0, (now - (office.started or 0)) / rule.warm_after)
     share = rule.start_share + (1 - rule.start_share) * grown
     # Never under one dial in four seconds, so that an office not used before can still be tried.
-    rate = max(office.usual, 0.25) * share * rule.multiple * 0.75
+    rate = max(office.usual, 0.25) * share * rule.multiple
     office.budget = min(office.budget + rate * (now - office.budget_at) / SECOND, 1.0 + rate)
     office.budget_at = now
     return office.budget >= 1.0
