--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -408,14 +408,14 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    x.recent = fresh(x.recent, now)
+    x.recent = fresh(x.recent, x.bound_delay, now)
     own_delay = own_delay_seen(x.recent, x.bound_delay, now)
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
     )
     x.own_fulls = 0
     for office in x.by_number.values():
-        office.recent = fresh(office.recent, now)
+        office.recent = fresh(office.recent, x.bound_delay, now)
         delay = delay_seen(office, x.bound_delay, now)
         far = None if delay is None else delay - (own_delay or 0)
         load = load_of(x.bound_delay, office.utilisation, office.wait, far, office.fulls)
@@ -445,10 +445,11 @@
 BOUND_UTILISATION = 0.9  # the design page's starting bound
 
 
-def fresh(dials: list[Dial], now: int) -> list[Dial]:
-    """Dials still waiting, or of which the delay became known within the last second: four intervals, so that
-    few dials to an office still make a sign."""
-    return [dial for dial in dials if dial.took is None or now - dial.sent - dial.took < SECOND]
+def fresh(dials: list[Dial], bound: int, now: int) -> list[Dial]:
+    """Dials of which the delay became known within the last second, or that have waited past the bound for no
+    longer: four intervals, so that few dials to an office still make a sign, yet a few lost answers do not
+    shut it, or the whole exchange, until their callers give up."""
+    return [dial for dial in dials if now - dial.sent - (bound if dial.took is None else dial.took) < SECOND]
 
 
 def news(dials: list[Dial], bound: int, now: int) -> bool:
