--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -69,6 +69,7 @@
     wait: int | None = None
     sent: int = 0
     usual: float = 0.0
+    first_budget: float = 0.0
     budget: float = 0.0
     budget_at: int = 0
     way_on: set[int] = field(default_factory=set)
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -89,6 +89,7 @@
     office = x.offices.get(entry.office)
     if office is None:
         office = x.offices[entry.office] = Office(entry.office, entry.number, entry.standing, entry.started)
+        office.first_budget = draw(x)
         for before in x.offices.values():  # the one replaced has left `by_number` when it drained
             if before.number == entry.number and before is not office:
                 office.usual = max(office.usual, before.usual)
@@ -328,6 +329,9 @@
     dial = dialogue.dials[event.dial]
     dialogue.stands = True
     dial.took, dial.answered = event.took, True
+    # The own processor takes set-ups in order: silence that a later answer has overtaken is not its, but a
+    # lost answer or a hung office.
+    x.recent = [other for other in x.recent if other.answered or other.sent >= dial.sent]
     x.usual_delay += (event.took - x.usual_delay) // 16
     dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
@@ -408,7 +412,7 @@
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
     """Step every price once and start the next interval."""
-    x.recent = fresh(x.recent, x.bound_delay, now)
+    x.recent = [dial for dial in x.recent if dial.took is None or now - dial.sent - dial.took < SECOND]
     own_delay = own_delay_seen(x.recent, x.bound_delay, now)
     x.own_price = stepped(
         x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
@@ -419,7 +423,10 @@
         delay = delay_seen(office, x.bound_delay, now)
         far = None if delay is None else delay - (own_delay or 0)
         load = load_of(x.bound_delay, office.utilisation, office.wait, far, office.fulls)
-        office.price = stepped(office.price, load, x.unit, x.top)
+        # Unheard, it decays by the signs to be expected: with fewer than one in three intervals the price of
+        # a slow office would be gone before the next dial to it. A tenth at least, for one seldom called.
+        expected = min(1.0, max(0.1, office.usual * 3 * INTERVAL / SECOND))
+        office.price = stepped(office.price, load, x.unit, x.top, 0.7**expected)
         office.fulls, office.utilisation, office.wait = 0, None, None
         if not cold(x.cold, office, now) and not office.price and not x.own_price:
             # A mean over some 32 intervals, long against a burst and short against a day; what a priced
@@ -484,12 +491,10 @@
 
 
 def own_delay_seen(dials: list[Dial], bound: int, now: int) -> int | None:
-    """What all routes share is the own processor's: the least of the last four delays. Dials are taken in
-    order, so silence that a later dial's answer has overtaken is not its: a lost answer, or a hung office."""
-    at = max((n for n, dial in enumerate(dials) if dial.answered), default=0)
-    since = [dial for dial in dials[:at] if dial.answered] + dials[at:]
-    delays = known_delays(since, bound, now)[-4:]
-    return min(delays) if len(delays) > 2 and news(since, bound, now) else None
+    """What all routes share is the own processor's: the least of the last four delays, silence
+    among them for as long as it lasts, for a jammed processor sends few dials."""
+    delays = known_delays(dials, bound, now)[-4:]
+    return min(delays) if len(delays) > 2 and news(dials, bound, now) else None
 
 
 def load_of(
@@ -505,12 +510,12 @@
     return max(load or 0.0, 1.5) if fulls else load
 
 
-def stepped(price: float, load: float | None, unit: float, top: float) -> float:
+def stepped(price: float, load: float | None, unit: float, top: float, kept: float = 0.7) -> float:
     """One step of a price: up over the bound, down toward nought under it, decay unheard. By rounds on
     all three sites, slower decay or a higher cap kept offices shut long after their trouble, and under the
     cap of 0.7 of the highest payoff a dear dialogue can always bring a fresh sign."""
     if load is None:
-        return price * 0.7 if price > unit / 100 else 0.0
+        return price * kept if price > unit / 100 else 0.0
     if load > 1:
         return min(price + unit * 0.8 * min(load - 1, 1.0), 0.7 * top)
     return max(0.0, price - (unit + price) * 0.2 * (1 - load))
@@ -559,14 +564,17 @@
 
 
 def cold_room(rule: ColdRule, office: Office, now: int) -> bool:
-    """Rule 4: a cold office gets no more from here than its share of what this server usually sends it."""
+    """Rule 4: a cold office gets no more from here than its share of what this server usually sends it. The
+    first allowance is left to chance: however many servers hear at once that it started, and have callers
+    waiting, their first dials come at the rate of all, not together."""
     if not cold(rule, office, now):
-        office.budget, office.budget_at = 1.0, now
+        office.budget, office.budget_at = 0.0, 0
         return True
     grown = max(0.0, (now - (office.started or 0)) / rule.warm_after)
     share = rule.start_share + (1 - rule.start_share) * grown
     # Never under one dial in four seconds, so that an office not used before can still be tried.
     rate = max(office.usual, 0.25) * share * rule.multiple
-    office.budget = min(office.budget + rate * (now - office.budget_at) / SECOND, 1.0 + rate)
+    grown_by = rate * (now - office.budget_at) / SECOND if office.budget_at else office.first_budget
+    office.budget = min(office.budget + grown_by, 1.0 + rate)
     office.budget_at = now
     return office.budget >= 1.0
