--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -274,6 +274,14 @@
     assert rules.best_route(exchange, dialogue, 0) is None
 
 
+def test_reservation_shrinks_where_tandems_are_the_plan(exchange):
+    office = exchange.by_number[1]
+    assert [rules.kept_back(office, linked) for linked in (1.0, 0.75, 0.5, 0.2)] == [4, 2, 1, 1]
+    exchange.by_number[2].size = 0
+    rules.interval_over(exchange, SECOND)
+    assert exchange.linked == 0.5
+
+
 def test_priced_destination_sheds_cheap_dialogues_and_keeps_dear_ones(exchange, new_dialogue):
     exchange.by_number[1].price = 2.0
     assert rules.best_route(exchange, new_dialogue(CHEAP), 0) is None
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -99,6 +99,7 @@
     waiting: list[Dial] = field(default_factory=list)
     refollow: bool = False
     tell_at: int = 0
+    linked: float = 1.0
     bound_delay: int = 0
     unit: float = 0.0
     top: float = 0.0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -172,19 +172,20 @@
 
 def room(x: Exchange, office: Office, dialogue: Dialogue, alternate: bool) -> bool:
     """Whether the trunk group has room, as far as is known; an alternate dialogue leaves some for direct ones
-    (trunk reservation, exception): one circuit, and one for each 10; by rounds, fewer starved direct ones.
-    Late ones are treated alike; a cheap one leaves the last circuit of a group of 20 to dearer ones."""
+    (trunk reservation, exception), late ones too; a cheap one leaves the last of 20 to dearer ones."""
     if office.size is None:
         return True
-    kept = kept_back(office) if alternate else 0
+    kept = kept_back(office, x.linked) if alternate else 0
     if dialogue.use_case.payoff < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
 
 
-def kept_back(office: Office) -> int:
-    """Circuits of its group that are kept for direct dialogues."""
-    return 1 + (office.size or 0) // 10
+def kept_back(office: Office, linked: float) -> int:
+    """Circuits of its group that are kept for direct dialogues: one, and where groups lead to all offices one
+    for each 10; by rounds, fewer starved direct ones. Where groups lead to but half of the offices, tandem
+    dialogues are the plan and no overflow: one only."""
+    return 1 + int((office.size or 0) * max(0.0, 2 * linked - 1)) // 10
 
 
 def best_route(x: Exchange, dialogue: Dialogue, now: int) -> Office | None:
@@ -414,10 +415,8 @@
     """Step every price once and start the next interval."""
     x.recent = [dial for dial in x.recent if dial.took is None or now - dial.sent - dial.took < SECOND]
     own_delay = own_delay_seen(x.recent, x.bound_delay, now)
-    x.own_price = stepped(
-        x.own_price, load_of(x.bound_delay, None, None, own_delay, x.own_fulls), x.unit, x.top
-    )
-    x.own_fulls = 0
+    own_load = load_of(x.bound_delay, None, None, own_delay, x.own_fulls)
+    x.own_price, x.own_fulls = stepped(x.own_price, own_load, x.unit, x.top), 0
     for office in x.by_number.values():
         office.recent = fresh(office.recent, x.bound_delay, now)
         delay = delay_seen(office, x.bound_delay, now)
@@ -435,7 +434,10 @@
         office.sent = 0
     # A number not called for a minute is forgotten; by then its lines have changed hands.
     x.called = {key: called for key, called in x.called.items() if now - called.called_at < 60 * SECOND}
-    out: list[Action] = [Wake(INTERVAL, TICK)]
+    sizes = [o.size for o in x.by_number.values() if o.size is not None and o.number != x.place.number]
+    x.linked = sum(size > 0 for size in sizes) / max(1, len(sizes))
+    out: list[Action] = [Wake(INTERVAL, TICK), *([Follow()] if x.refollow else [])]
+    x.refollow = False
     x.waiting = [dial for dial in x.waiting if dial.took is None and dial.dialogue.out is dial]
     for dial in x.waiting:
         if answer_lost(x, dial, now):
@@ -443,9 +445,6 @@
     if x.permissions.may_tell_peers and not x.place.advised and x.place.peers and now >= x.tell_at:
         x.tell_at = now + tell_period(x.place.peers)
         out.append(TellPeers(word(x)))
-    if x.refollow:
-        x.refollow = False
-        out.append(Follow())
     return out
 
 
@@ -461,12 +460,8 @@
 
 def news(dials: list[Dial], bound: int, now: int) -> bool:
     """Whether a delay became known in the interval just over, or a dial waits past the bound."""
-    for dial in dials:
-        if dial.took is None and now - dial.sent > bound:
-            return True
-        if dial.took is not None and now - dial.sent - dial.took < INTERVAL:
-            return True
-    return False
+    ages = ((now - dial.sent, dial.took) for dial in dials)
+    return any(age > bound if took is None else age - took < INTERVAL for age, took in ages)
 
 
 def known_delays(dials: list[Dial], bound: int, now: int) -> list[int]:
@@ -537,7 +532,7 @@
     spare = bytearray(min(max(x.by_number, default=-1) + 1, 254))
     for number, office in x.by_number.items():
         if 0 <= number < len(spare):
-            spare[number] = max(0, min(255, office.free - kept_back(office)))
+            spare[number] = max(0, min(255, office.free - kept_back(office, x.linked)))
     return bytes((FORM, x.place.number or 0)) + spare
 
 
