--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -67,7 +67,6 @@
     recent: list[Dial] = field(default_factory=list)
     utilisation: float | None = None
     wait: int | None = None
-    hold_back: float | None = None
     sent: int = 0
     usual: float = 0.0
     first_budget: float = 0.0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -409,8 +409,6 @@
         office.utilisation = report.utilisation
     if report.wait is not None:
         office.wait = report.wait
-    if report.hold_back is not None:
-        office.hold_back = report.hold_back
 
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
@@ -427,9 +425,6 @@
         # Unheard, it decays by the signs to be expected: with fewer than one in three intervals the price of
         # a slow office would be gone before the next dial to it. A tenth at least, for one seldom called.
         expected = min(1.0, max(0.1, office.usual * 3 * INTERVAL / SECOND))
-        if office.hold_back is not None:
-            load = max(load or 0.0, 1 + office.hold_back if office.hold_back > 0 else 0.0)
-            office.hold_back = None
         office.price = stepped(office.price, load, x.unit, x.top, 0.7**expected)
         office.fulls, office.utilisation, office.wait = 0, None, None
         if not cold(x.cold, office, now) and not office.price and not x.own_price:
