--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,7 @@
     Stood,
     WentAway,
 )
-from wellhitch.interface.facts import Place, UseCase
+from wellhitch.interface.facts import Permissions, Place, ReleaseRule, UseCase
 from wellhitch.interface.state import Exchange
 
 NOTHING = Report()
@@ -388,6 +388,48 @@
     assert rules.word(exchange) == bytes((rules.FORM, 0, 26, 26, 0))
 
 
+# bad or extreme input: a sound answer for every dialogue
+
+
+def test_office_back_under_its_id_with_a_new_start_is_cold_and_unpriced(exchange):
+    office = exchange.by_number[1]
+    office.price, office.usual = 2.0, 4.0
+    rules.listed(exchange, Listed(Heard.CHANGES, (Entry("office-1", 1, Standing.READY, SECOND),)))
+    assert exchange.by_number[1] is office and office.price == 0.0 and office.usual == 4.0
+    assert rules.cold(exchange.cold, office, 2 * SECOND)
+    assert not rules.cold_room(exchange.cold, office, SECOND)
+
+
+def test_many_peers_and_no_trunk_groups_push_back_at_once(exchange, new_dialogue):
+    for number in range(3, 300):
+        exchange.by_number[number] = rules.Office(f"o{number}", number, Standing.READY, None, size=0)
+    exchange.by_number[1].free = exchange.by_number[2].free = -1  # shrunk below what is in use
+    for destination in (1, 3, 299, 999, -1):
+        dialogue = new_dialogue(destination=destination)
+        assert isinstance(rules.place_dialogue(exchange, dialogue, 0)[0], PushBack)
+    assert len(rules.word(exchange)) == 256
+
+
+@pytest.mark.parametrize(
+    ("most_dials", "wait", "payoff", "width"),
+    [(1, SECOND, 1.0, 1), (4, 60 * SECOND, 1.0, 1), (4, 0, 0.0, 1), (4, 0, 1.0, 99)],
+)
+def test_extreme_settings_end_in_one_answer(exchange, new_dialogue, most_dials, wait, payoff, width):
+    exchange.permissions = Permissions(most_dials, True, False, False, 0, False)
+    exchange.release = ReleaseRule(wait, 0)
+    dialogue = new_dialogue(UseCase("any", payoff, 0.0, SECOND, 3 * SECOND, width, SECOND, (), True, 0))
+    dialogue.width = width
+    out, dial, now = rules.place_dialogue(exchange, dialogue, 0), 0, 0
+    while not isinstance(out[0], PushBack | Forfeit):
+        now += out[0].after if isinstance(out[0], Wake) else SECOND // 2
+        if isinstance(out[0], Wake):
+            out = rules.place_dialogue(exchange, dialogue, now)
+        else:
+            event = ended(dialogue, out[0].office, Ending.RESET, dial=dial)
+            out, dial = rules.dial_ended(exchange, event, now), dial + 1
+    assert dialogue.id not in exchange.dialogues and len(out) == 1 and dial <= most_dials
+
+
 # start, chance and discovery
 
 
