--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -94,7 +94,6 @@
     dialogues: dict[int, Dialogue] = field(default_factory=dict)
     own_price: float = 0.0
     own_fulls: int = 0
-    own_delay: int = 0
     recent: list[Dial] = field(default_factory=list)
     usual_delay: int = 0
     waiting: list[Dial] = field(default_factory=list)
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -151,14 +151,11 @@
 
 
 def payoff_now(x: Exchange, dialogue: Dialogue, now: int) -> float:
-    """Payoff if sent now: where it would stand past the agreed time, counting the delay last seen of the own
-    processor while it is pressed, and a bound's delay at least for each pressed end, only the late share is
-    left."""
+    """Payoff if sent now: where it would stand past the agreed time, counting a bound's delay for each
+    pressed processor of its ends, only the late share is left."""
     destination = x.by_number.get(dialogue.destination)
-    delay = max(x.bound_delay, x.own_delay) if x.own_price > 0 else 0
-    if destination is not None and destination.price > 0:
-        delay += x.bound_delay
-    late = now + delay - dialogue.first_try > dialogue.use_case.agreed_time
+    pressed = (x.own_price > 0) + (destination is not None and destination.price > 0)
+    late = now + pressed * x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
     return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
 
 
@@ -418,7 +415,6 @@
     """Step every price once and start the next interval."""
     x.recent = [dial for dial in x.recent if dial.took is None or now - dial.sent - dial.took < SECOND]
     own_delay = own_delay_seen(x.recent, x.bound_delay, now)
-    x.own_delay = own_delay or 0
     own_load = load_of(x.bound_delay, None, None, own_delay, x.own_fulls)
     x.own_price, x.own_fulls = stepped(x.own_price, own_load, x.unit, x.top), 0
     for office in x.by_number.values():
