--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -57,7 +57,7 @@
     x.place, x.permissions, x.release, x.cold = event.place, event.permissions, event.release, event.cold
     x.unit = min((use.payoff for use in event.use_cases if use.payoff > 0), default=1.0)
     # Two processors at their bound take half the shortest agreed time; the rest is left to chance.
-    x.bound_delay = min((use.agreed_time for use in event.use_cases), default=SECOND) // 3
+    x.bound_delay = min((use.agreed_time for use in event.use_cases), default=SECOND) // 4
     x.top = max((use.payoff for use in event.use_cases), default=1.0)
     x.tell_at = now + int(draw(x) * tell_period(event.place.peers))  # not all at once
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
