A fault counts as full, and its office is not tried again for the dialogue

Cause: a processor fails every set-up at once; its groups look free, the centre advises it, and each dialogue dialled it up to five times. Told from a busy number by the blame, from pressure by the delay. Change: a direct fault counts as full and pushes back, one over a tandem rests that tandem for the destination. Catches any office that fails fast. May hurt where single faults are common: the dialogue then waits for its caller's next try.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -253,6 +253,15 @@
     assert exchange.waiting == [lost]
 
 
+def test_fault_prices_its_office_and_is_not_dialled_again(exchange, new_dialogue, dial_out):
+    direct, round_about = new_dialogue(), new_dialogue(destination=1)
+    dial_out(direct), dial_out(round_about, number=2)
+    out = rules.dial_ended(exchange, ended(direct, "office-1", Ending.FAULT), SECOND)
+    assert isinstance(out[0], PushBack) and exchange.by_number[1].fulls == 1
+    rules.dial_ended(exchange, ended(round_about, "office-2", Ending.FAULT), SECOND)
+    assert exchange.by_number[2].fulls == 0 and 1 in exchange.by_number[2].no_way_on
+
+
 # routes
 
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -352,14 +352,17 @@
         dialogue.out = None
     no_answer(x, dial, now - dial.sent if event.ending in (ev.Ending.TIMED_OUT, ev.Ending.CANCELLED) else 0)
     destination = x.by_number.get(dialogue.destination)
+    # A processor that fails every set-up answers quickly and its groups look free, so that it would draw all.
+    fault = event.ending is ev.Ending.FAULT and event.blame is not ev.Blame.LINES_BUSY
+    full = event.blame is ev.Blame.PROCESSOR_FULL or event.ending is ev.Ending.UNREACHABLE
     if event.ending is ev.Ending.NOT_SENT:
         x.own_fulls += event.blame is ev.Blame.PROCESSOR_FULL
         office.free += dialogue.width  # nothing was taken, and no report need follow
-    elif event.blame is ev.Blame.PROCESSOR_FULL or event.ending is ev.Ending.UNREACHABLE:
+    elif full or (fault and dial.direct):
         office.fulls += 1
     elif event.blame is ev.Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
-    elif event.blame is ev.Blame.TURNED_BACK:
+    elif event.blame is ev.Blame.TURNED_BACK or (fault and not dial.direct):
         # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
@@ -379,12 +382,11 @@
             return give_up(x, dialogue, now)
     if event.blame is ev.Blame.LINES_BUSY:
         lines_busy(dialogue.called, now)
-    full = event.blame is ev.Blame.PROCESSOR_FULL or event.ending is ev.Ending.UNREACHABLE
     if event.blame in (ev.Blame.LINES_BUSY, ev.Blame.FAR_PROCESSOR_FULL) or (
-        full and (dial.direct or event.ending is ev.Ending.NOT_SENT)
+        (full or fault) and (dial.direct or event.ending is ev.Ending.NOT_SENT)
     ):
         return give_up(x, dialogue, now)
-    if event.ending in (ev.Ending.FULL, ev.Ending.UNREACHABLE, ev.Ending.NOT_SENT):
+    if fault or event.ending in (ev.Ending.FULL, ev.Ending.UNREACHABLE, ev.Ending.NOT_SENT):
         dialogue.tried.append(office)
     return place_dialogue(x, dialogue, now)
 
