--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -98,7 +98,6 @@
     usual_delay: int = 0
     waiting: list[Dial] = field(default_factory=list)
     refollow: bool = False
-    ticked_at: int = 0
     tell_at: int = 0
     linked: float = 1.0
     bound_delay: int = 0
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -414,11 +414,7 @@
 
 
 def interval_over(x: Exchange, now: int) -> list[Action]:
-    """Step every price once and start the next interval. After a pause of this call server (exception) the
-    delays of all dials out are its own, and no signs."""
-    paused, x.ticked_at = 0 < x.ticked_at < now - 2 * INTERVAL, now
-    for recent in (x.recent, *(office.recent for office in x.by_number.values())) if paused else ():
-        recent.clear()
+    """Step every price once and start the next interval."""
     x.recent = [dial for dial in x.recent if dial.took is None or now - dial.sent - dial.took < SECOND]
     own_delay = own_delay_seen(x.recent, x.bound_delay, now)
     own_load = load_of(x.bound_delay, None, None, own_delay, x.own_fulls)
