--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 from conftest import CHEAP, DEAR, SECOND
 
 from wellhitch import rules
-from wellhitch.interface.actions import Cancel, Follow, Forfeit, PushBack, Send, Wake
+from wellhitch.interface.actions import Cancel, Follow, Forfeit, PushBack, Send, TellPeers, Wake
 from wellhitch.interface.events import (
     Arrived,
     Blame,
@@ -395,6 +395,10 @@
 def test_word_tells_room_beyond_what_is_kept(exchange):
     exchange.by_number[2].free = 2
     assert rules.word(exchange) == bytes((rules.FORM, 0, 26, 26, 0))
+    exchange.permissions = Permissions(4, True, False, True, 0, True)
+    assert any(isinstance(action, TellPeers) for action in rules.interval_over(exchange, SECOND))
+    exchange.place = Place(256, 300, False, 0)  # a number that no word can name
+    assert len(rules.interval_over(exchange, 99 * SECOND)) == 1
 
 
 # bad or extreme input: a sound answer for every dialogue
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -444,7 +444,8 @@
     for dial in x.waiting:
         if answer_lost(x, dial, now):
             out.append(Cancel(dial.dialogue.id, len(dial.dialogue.dials) - 1))
-    if x.permissions.may_tell_peers and not x.place.advised and x.place.peers and now >= x.tell_at:
+    tells = x.permissions.may_tell_peers and not x.place.advised and (x.place.number or 0) < 256
+    if tells and x.place.peers and now >= x.tell_at:
         x.tell_at = now + tell_period(x.place.peers)
         out.append(TellPeers(word(x)))
     return out
@@ -524,8 +525,7 @@
 
 
 def tell_period(peers: int) -> int:
-    """How often to tell: each call server hears some ten words a second, whatever their number, as each costs
-    it work; never more than one a second from one, as circuits are held for many."""
+    """How often to tell: each server hears some ten words a second, whatever their number: they cost work."""
     return max(SECOND, peers * SECOND // 10)
 
 
