Tidy: decay's constant stands once, two dead conditions out, a test for peers' bytes

Read of the whole change. The share kept of an unheard price was written twice; a list that holds news is never without a known delay; a direct fault is taken before the branch that asked again. The codec's reading of a peer's bytes had no test.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -81,3 +81,8 @@
 def test_values_below_nought_were_not_told():
     report = codec.read_report({"spare": 3, "total": 5, "busy": -1, "lat_ms": 2.5})
     assert (report.free, report.utilisation, report.wait) == (3, None, 2500)
+
+
+@pytest.mark.parametrize(("digits", "read"), [("0102", b"\x01\x02"), ("010", b""), ("zz", b""), (None, b"")])
+def test_a_message_of_a_peer_that_is_no_hex_is_read_as_empty(digits, read):
+    assert codec.read_bytes(digits) == read
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -362,7 +362,7 @@
         office.fulls += 1
     elif event.blame is ev.Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
-    elif event.blame is ev.Blame.TURNED_BACK or (fault and not dial.direct):
+    elif event.blame is ev.Blame.TURNED_BACK or fault:
         # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
@@ -427,7 +427,7 @@
         # Unheard, it decays by the signs to be expected: with fewer than one in three intervals the price of
         # a slow office would be gone before the next dial to it. A tenth at least, for one seldom called.
         expected = min(1.0, max(0.1, office.usual * 3 * INTERVAL / SECOND))
-        office.price = stepped(office.price, load, x.unit, x.top, 0.7**expected)
+        office.price = stepped(office.price, load, x.unit, x.top, expected)
         office.fulls, office.utilisation, office.wait = 0, None, None
         if not cold(x.cold, office, now) and not office.price and not x.own_price:
             # A mean over some 32 intervals, long against a burst and short against a day; what a priced
@@ -483,7 +483,7 @@
     if not news(office.recent, bound, now):
         return None
     delays = known_delays(office.recent, bound, now)[-3:]
-    if not delays or (len(delays) == 1 and delays[0] > bound and office.recent[-1].took is None):
+    if len(delays) == 1 and delays[0] > bound and office.recent[-1].took is None:
         return None
     return median_low(delays)
 
@@ -508,12 +508,12 @@
     return max(load or 0.0, 1.5) if fulls else load
 
 
-def stepped(price: float, load: float | None, unit: float, top: float, kept: float = 0.7) -> float:
+def stepped(price: float, load: float | None, unit: float, top: float, expected: float = 1.0) -> float:
     """One step of a price: up over the bound, down toward nought under it, decay unheard. By rounds on
     all three sites, slower decay or a higher cap kept offices shut long after their trouble, and under the
     cap of 0.7 of the highest payoff a dear dialogue can always bring a fresh sign."""
     if load is None:
-        return price * kept if price > unit / 100 else 0.0
+        return price * 0.7**expected if price > unit / 100 else 0.0
     if load > 1:
         return min(price + unit * 0.8 * min(load - 1, 1.0), 0.7 * top)
     return max(0.0, price - (unit + price) * 0.2 * (1 - load))
