--- /dev/null
+++ b/wellhitch/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m wellhitch`: the same as the `wellhitch` command."""
+
+from wellhitch.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wellhitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `wellhitch` command: one file a subcommand."""
--- /dev/null
+++ b/wellhitch/cli/check.py
@@ -0,0 +1,41 @@
+"""`wellhitch check`: every fault of a sheet or a day."""
+
+from pathlib import Path
+
+import click
+
+from wellhitch.cli.errors import told_plainly
+from wellhitch.settings import checked, day, sheet
+from wellhitch.settings.template import evaluate
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def check(file: Path) -> None:
+    """List every fault of a sheet or a day FILE, each with field, value and what is allowed.
+
+    \b
+    Example: wellhitch check fleet/exchange-3.jsonnet
+    """
+    with told_plainly():
+        value = evaluate(file)
+        if isinstance(value, dict) and "exchanges" in value:
+            read_day(file)
+            click.echo(f"{file}: a day, without faults")
+        else:
+            read_sheet(file)
+            click.echo(f"{file}: a sheet, without faults")
+
+
+def read_sheet(file: Path) -> sheet.Sheet:
+    """A sheet, checked as a whole. Raises Faults."""
+    made = checked.read(evaluate(file), sheet.Sheet, str(file))
+    sheet.check(made, str(file))
+    return made
+
+
+def read_day(file: Path) -> day.Day:
+    """A day, checked as a whole. Raises Faults."""
+    made = checked.read(evaluate(file), day.Day, str(file))
+    day.check(made, str(file))
+    return made
--- /dev/null
+++ b/wellhitch/cli/serve.py
@@ -0,0 +1,78 @@
+"""`wellhitch serve`: the daemon."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from wellhitch.cli.check import read_sheet
+from wellhitch.cli.errors import told_plainly
+from wellhitch.cli.logs import set_up
+from wellhitch.net.seam import LoopbackNetwork, now_us
+from wellhitch.server.daemon import Daemon, Doors
+from wellhitch.settings.sheet import Sheet, opened
+
+STOP_WITHIN = 10_000_000  # us; longer than any outer limit seen, so that what is owed can be answered
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option(
+    "--log-level", type=click.Choice(["debug", "info", "warning"]), default="info", show_default=True
+)
+def serve(file: Path, log_level: str) -> None:
+    """Run one exchange's call server by the sheet FILE until SIGTERM.
+
+    On SIGTERM nothing more is taken, owed answers are given, then it stops, within 10 s. A second SIGTERM stops it at
+    once.
+
+    \b
+    Example: wellhitch serve fleet/exchange-3.jsonnet
+    """
+    with told_plainly():
+        sheet = read_sheet(file)
+    sys.exit(asyncio.run(_serve(sheet, log_level)))
+
+
+async def _serve(sheet: Sheet, log_level: str) -> int:
+    loop = asyncio.get_running_loop()
+    logger = set_up(log_level)
+    over: asyncio.Future[int] = loop.create_future()
+
+    def log(event: str, **facts: Any) -> None:
+        logger.info(event, **facts)
+
+    def trouble(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        fault = context.get("exception")
+        logger.error("fault", message=context.get("message"), fault=repr(fault))
+        if isinstance(fault, OSError) and not daemon.listeners and not over.done():
+            over.set_result(2)  # cannot listen at all: an address in use, say
+
+    d = sheet.doors
+    # A mark that is new with each start: the process id and the loop's clock, which nothing else reads.
+    boot = (now_us(loop) << 16 | os.getpid() & 0xFFFF) & ((1 << 62) - 1)
+    doors = Doors(d.callers, d.peers, d.operators, d.register, d.centre)
+    daemon = Daemon(loop, LoopbackNetwork(loop), opened(sheet), doors, sheet.limits.max_open, boot, log)
+    loop.set_exception_handler(trouble)
+
+    def stop() -> None:
+        if daemon.switch.stopping:
+            finish()
+        else:
+            daemon.stop(STOP_WITHIN, finish)
+
+    def finish() -> None:
+        if not over.done():
+            over.set_result(0)
+
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sign, stop)
+    daemon.start()
+    code = await over
+    daemon.kill()
+    await asyncio.sleep(0)
+    return code
--- /dev/null
+++ b/wellhitch/emulator/network.py
@@ -0,0 +1,282 @@
+"""A network of streams in virtual time: delay, order, back-pressure, and the faults of real sockets."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wellhitch.emulator.party import PartyLoop
+from wellhitch.net.seam import Factory, Listener
+
+Delay = Callable[[str, str], int]
+"""One-way time in us between two hosts."""
+
+HIGH_WATER = 64 * 1024  # asyncio's own default
+LOW_WATER = HIGH_WATER // 4
+
+
+@dataclass(slots=True, eq=False)
+class Weather:
+    """What is wrong between two hosts now. `silent`: bytes vanish and nobody is told (half-open).
+    `trickle`: bytes arrive one by one. `broken`: no new link comes up."""
+
+    silent: bool = False
+    trickle: bool = False
+    broken: bool = False
+
+
+class Pipe(asyncio.Transport):
+    """One end of a stream."""
+
+    def __init__(
+        self, net: "EmulatedNetwork", here: str, there: str, protocol: asyncio.BufferedProtocol
+    ) -> None:
+        super().__init__({"peername": there, "sockname": here})
+        self.net, self.here, self.there, self.protocol = net, here, there, protocol
+        self.other: Pipe | None = None
+        self.closing = False
+        self.reading = True
+        self.arrived: list[bytes] = []
+        self.unread = 0  # bytes written here and not yet read there
+        self.held = False  # the protocol was told to pause
+        self.last_due = 0.0
+        self.queue_closed = False
+
+    # -- asyncio.Transport --
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Send bytes: they arrive there in order after the network's delay."""
+        other = self.other
+        if self.closing or other is None or not data:
+            return
+        self.unread += len(data)
+        if self.net.weather(self.here, self.there).silent:
+            self._pressure()
+            return
+        due = self.net.due(self)
+        if self.net.weather(self.here, self.there).trickle:
+            for byte in bytes(data):
+                due += self.net.TRICKLE_S
+                self.net.loop.call_at(due, other._arrive, bytes((byte,)))
+            self.last_due = due
+        else:
+            self.net.loop.call_at(due, other._arrive, bytes(data))
+        self._pressure()
+
+    def close(self) -> None:
+        """Close once what was written has arrived."""
+        if self.closing:
+            return
+        self.closing = True
+        other = self.other
+        if other is not None and not self.net.weather(self.here, self.there).silent:
+            self.net.loop.call_at(self.net.due(self), other._lost, None)
+        self.net.loop.call_soon(self._gone, None)
+
+    def abort(self) -> None:
+        """Close at once; the other end sees a reset."""
+        if self.closing:
+            return
+        self.closing = True
+        other = self.other
+        if other is not None and not self.net.weather(self.here, self.there).silent:
+            self.net.loop.call_at(self.net.due(self), other._lost, ConnectionResetError("reset"))
+        self.net.loop.call_soon(self._gone, None)
+
+    def is_closing(self) -> bool:
+        """Whether the link is closed or closing."""
+        return self.closing
+
+    def pause_reading(self) -> None:
+        """Let what arrives wait."""
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        """Take what has waited."""
+        self.reading = True
+        self._deliver()
+
+    def get_write_buffer_size(self) -> int:
+        """Bytes written and not yet read at the other end."""
+        return self.unread
+
+    # -- inside --
+
+    def _arrive(self, data: bytes) -> None:
+        if not self.closing:
+            self.arrived.append(data)
+            self._deliver()
+
+    def _deliver(self) -> None:
+        while self.arrived and self.reading and not self.closing:
+            if self.net.held_up(self.here, self._deliver):
+                return
+            data = memoryview(self.arrived.pop(0))
+            if self.other is not None:
+                self.other.unread -= len(data)
+                self.other._pressure()
+            while data:
+                room = self.protocol.get_buffer(len(data))
+                taken = min(len(room), len(data))  # type: ignore[arg-type]
+                memoryview(room)[:taken] = data[:taken]
+                data = data[taken:]
+                self.protocol.buffer_updated(taken)
+
+    def _pressure(self) -> None:
+        if not self.held and self.unread > HIGH_WATER:
+            self.held = True
+            self.net.loop.call_soon(self._pause_writing)
+        elif self.held and self.unread <= LOW_WATER and not self.closing:
+            self.held = False
+            self.net.loop.call_soon(self._resume_writing)
+
+    def _pause_writing(self) -> None:
+        if not self.net.held_up(self.here, self._pause_writing):
+            self.protocol.pause_writing()
+
+    def _resume_writing(self) -> None:
+        if not self.net.held_up(self.here, self._resume_writing):
+            self.protocol.resume_writing()
+
+    def _lost(self, why: Exception | None) -> None:
+        if self.net.held_up(self.here, self._lost, why):
+            return
+        if not self.closing:
+            self.closing = True
+            self._gone(why)
+
+    def _gone(self, why: Exception | None) -> None:
+        if not self.queue_closed:
+            self.queue_closed = True
+            self.net.pipes.pop(self, None)
+            self.protocol.connection_lost(why)
+
+
+@dataclass(eq=False)
+class _Listening:
+    net: "EmulatedNetwork"
+    address: str
+    factory: Factory
+
+    def close(self) -> None:
+        self.net.listeners.pop(self.address, None)
+
+
+@dataclass(eq=False)
+class EmulatedNetwork:
+    """All hosts of a day. Give each party `at(host)`, its own view; `delay` is one way, `jitter` a share of it."""
+
+    loop: asyncio.AbstractEventLoop
+    seed: int
+    delay: Delay = lambda here, there: 1000
+    jitter: float = 0.0
+    listeners: dict[str, _Listening] = field(default_factory=dict)
+    pipes: dict[Pipe, None] = field(default_factory=dict)
+    bad: dict[tuple[str, str], Weather] = field(default_factory=dict)
+    gates: dict[str, PartyLoop] = field(default_factory=dict)
+
+    TRICKLE_S = 0.0005
+    _FINE = Weather()
+
+    def __post_init__(self) -> None:
+        self._chance = random.Random(self.seed)
+        self._next_port = 1000
+
+    def at(self, host: str) -> "View":
+        """The network as `host` sees it."""
+        return View(self, host)
+
+    def held_up(self, host: str, callback: Callable[..., object], *args: object) -> bool:
+        """Whether a host is paused; `callback` then waits until it goes on."""
+        gate = self.gates.get(host)
+        if gate is None or not gate.paused:
+            return False
+        gate.enter(callback, *args)
+        return True
+
+    def weather(self, here: str, there: str) -> Weather:
+        """What is wrong from one host to another."""
+        return self.bad.get((here, there), self._FINE) if self.bad else self._FINE
+
+    def spoil(self, here: str, there: str) -> Weather:
+        """The weather record between two hosts, both ways, to change."""
+        weather = self.bad.setdefault((here, there), Weather())
+        self.bad[there, here] = weather
+        return weather
+
+    def due(self, pipe: Pipe) -> float:
+        """When bytes written now arrive: never before those written earlier."""
+        delay = self.delay(pipe.here, pipe.there) / 1e6
+        if self.jitter:
+            delay *= 1 + self.jitter * self._chance.random()
+        # Strictly later than what went before: the loop's timers keep no order among equal times.
+        pipe.last_due = max(self.loop.time() + delay, pipe.last_due + 1e-8)
+        return pipe.last_due
+
+    def links(self, here: str, there: str) -> list[Pipe]:
+        """The open ends at `here` of links with `there`."""
+        return [pipe for pipe in self.pipes if pipe.here == here and pipe.there == there]
+
+    def cut(self, here: str, there: str) -> int:
+        """Reset every link between two hosts; returns how many."""
+        found = self.links(here, there)
+        for pipe in found:
+            if pipe.other is not None:
+                pipe.other._lost(ConnectionResetError("cut"))
+            pipe._lost(ConnectionResetError("cut"))
+        return len(found)
+
+    def reset_host(self, host: str) -> None:
+        """A host's process is gone: the other ends of its links see a reset, itself sees nothing more."""
+        for pipe in [pipe for pipe in self.pipes if pipe.here == host]:
+            pipe.closing = pipe.queue_closed = True
+            self.pipes.pop(pipe, None)
+            if pipe.other is not None:
+                self.loop.call_at(self.due(pipe), pipe.other._lost, ConnectionResetError("reset"))
+
+    def free_port(self) -> int:
+        """A port nobody listens at."""
+        self._next_port += 1
+        return self._next_port
+
+
+@dataclass(frozen=True)
+class View:
+    """`Network` for one host."""
+
+    net: EmulatedNetwork
+    host: str
+
+    def listen(self, address: str, factory: Factory, ready: Callable[[Listener], None]) -> None:
+        """As `Network.listen`; hosts are names here."""
+        host, _, port = address.rpartition(":")
+        full = f"{host}:{port if port != '0' else self.net.free_port()}"
+        if full in self.net.listeners:
+            raise OSError(f"{full} in use")
+        listening = self.net.listeners[full] = _Listening(self.net, full, factory)
+        self.net.loop.call_soon(ready, listening)
+
+    def connect(self, address: str, factory: Factory, failed: Callable[[str], None]) -> None:
+        """As `Network.connect`."""
+        there = address.rpartition(":")[0]
+        way = self.net.delay(self.host, there) / 1e6
+
+        def reach() -> None:
+            listening = self.net.listeners.get(address)
+            if listening is None or self.net.weather(self.host, there).broken:
+                self.net.loop.call_later(way, failed, "refused")
+                return
+            far = Pipe(self.net, there, self.host, listening.factory())
+            near = Pipe(self.net, self.host, there, factory())
+            near.other, far.other = far, near
+            self.net.pipes[far] = self.net.pipes[near] = None
+            if not self.net.held_up(there, far.protocol.connection_made, far):
+                far.protocol.connection_made(far)
+            near.last_due = far.last_due = self.net.loop.time() + way
+            self.net.loop.call_later(way, opened, near)
+
+        def opened(near: Pipe) -> None:
+            if not near.closing and not self.net.held_up(self.host, opened, near):
+                near.protocol.connection_made(near)
+
+        self.net.loop.call_later(way, reach)
--- /dev/null
+++ b/wellhitch/judge/rules.py
@@ -0,0 +1,398 @@
+"""Settles the five rules from captures. Pure: captures in, a verdict out. Times are whole microseconds.
+
+Evidence and its limits. The parties of one day share one clock. A frame is on the way for `way` us at most (told
+with the captures), so that what two parties saw may be apart by so much; each rule says how it allows for that.
+What happened to a call server's process (killed, paused) is told by the day's own capture, `world`.
+"""
+
+from bisect import bisect_right
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from wellhitch.trunk import frames
+from wellhitch.trunk.capture import BadCapture, Capture, Line, Note
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """One broken rule: which, when, who, and what was seen."""
+
+    rule: int
+    t: int
+    server: int
+    text: str
+
+
+@dataclass(slots=True)
+class Verdict:
+    """All breaks, and how much each rule had to look at."""
+
+    breaks: list[Break] = field(default_factory=list)
+    seen: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What the rules go by, from the first lines of the captures."""
+
+    drain_grace: int
+    release_wait: int
+    cold_multiple: float
+    cold_window: int
+    way: int
+
+
+COLD_SLACK = 2.0  # set-ups beyond the budget that chance alone may bring together at once
+
+
+@dataclass(slots=True)
+class _Outages:
+    """When each call server was down or paused: what it held then is not its duty."""
+
+    spans: dict[int, list[tuple[int, int]]] = field(default_factory=lambda: defaultdict(list))
+
+    def touches(self, server: int, since: int, until: int) -> bool:
+        """Whether an outage of the server overlaps a span of time."""
+        return any(begin <= until and end >= since for begin, end in self.spans.get(server, ()))
+
+
+def judge(captures: list[Capture]) -> Verdict:
+    """The verdict. Raises BadCapture where the evidence is not enough to judge by."""
+    by_party: dict[str, list[Capture]] = defaultdict(list)
+    for capture in captures:
+        by_party[capture.party].append(capture)
+    for party in ("world", "office", "callers", "register"):
+        if not by_party[party]:
+            raise BadCapture(f"no capture of a party {party!r}")
+    world = by_party["world"][0]
+    figures = _figures(world)
+    outages = _outages(world)
+    verdict = Verdict()
+    for capture in by_party["callers"]:
+        _one_answer(capture, figures, outages, verdict)
+    for capture in by_party["office"]:
+        _one_answer_in_transit(capture, figures, outages, verdict)
+        _cold(capture, figures, verdict)
+    _dials(by_party["office"], figures, verdict)
+    _drains(by_party["register"], by_party["office"], figures, outages, verdict)
+    if not verdict.seen["dialogues"]:
+        raise BadCapture("no dialogue in any capture: nothing to judge")
+    verdict.breaks.sort(key=lambda one: (one.t, one.rule, one.server, one.text))
+    return verdict
+
+
+def _figures(world: Capture) -> Figures:
+    try:
+        return Figures(**{name: world.facts[name] for name in Figures.__dataclass_fields__})
+    except KeyError as missing:
+        raise BadCapture(f"{world.name}: first line lacks {missing}") from None
+
+
+def _outages(world: Capture) -> _Outages:
+    out = _Outages()
+    began: dict[int, int] = {}
+    last = 0
+    for line in world.lines:
+        last = max(last, line.t)
+        if not isinstance(line, Note) or "server" not in line.facts:
+            continue
+        server = line.facts["server"]
+        if line.what in ("server_killed", "server_paused"):
+            began.setdefault(server, line.t)
+        elif line.what in ("server_started", "server_resumed") and server in began:
+            out.spans[server].append((began.pop(server), line.t))
+    for server, t in began.items():
+        out.spans[server].append((t, 1 << 62))
+    return out
+
+
+# ---- rule 1 ----
+
+
+@dataclass(slots=True)
+class _Owed:
+    t: int
+    left: int
+    link: int
+    answered: int | None = None
+    answer: str = ""
+    over: int | None = None
+
+
+def _one_answer(capture: Capture, figures: Figures, outages: _Outages, verdict: Verdict) -> None:
+    """Rule 1 at the callers' end: each Call gets one Final within `left`; after it only the end of one that
+    stood. A caller that hung up, or lost its link, is owed nothing; a Final that crossed the Leave is none too
+    many for twice the longest way."""
+    server = int(capture.facts["number"])
+    open_calls: dict[tuple[int, int], _Owed] = {}
+    last = 0
+
+    def broken(t: int, text: str) -> None:
+        verdict.breaks.append(Break(1, t, server, text))
+
+    def missing(call_id: int, owed: _Owed, now: int) -> None:
+        due = owed.t + owed.left
+        if owed.answered is None and now >= due and not outages.touches(server, owed.t, due):
+            broken(due, f"call {call_id}: no answer within its {owed.left} us")
+
+    for line in capture.lines:
+        last = max(last, line.t)
+        if isinstance(line, Note):
+            if line.what == "down":
+                for key, owed in list(open_calls.items()):
+                    if key[0] == line.facts["link"]:
+                        if owed.over is None:
+                            missing(key[1], owed, line.t)
+                        del open_calls[key]
+            continue
+        frame = line.frame
+        key = (line.link, getattr(frame, "id", -1))
+        if isinstance(frame, frames.Call):
+            verdict.seen["dialogues"] += 1
+            open_calls[key] = _Owed(line.t, frame.left, line.link)
+        elif isinstance(frame, frames.Leave):
+            left = open_calls.get(key)
+            if left and left.over is None:
+                missing(frame.id, left, line.t)
+                left.over = line.t
+        elif isinstance(frame, frames.Final):
+            owed_now = open_calls.get(key)
+            if owed_now is None:
+                broken(line.t, f"call {frame.id}: a final answer to no call of this link")
+            else:
+                _final(owed_now, line, frame, figures, outages, server, broken)
+        elif isinstance(frame, frames.Ended):
+            stood = open_calls.get(key)
+            if stood is None or stood.answer != "stands":
+                broken(line.t, f"call {frame.id}: told of its end, and never stood")
+    for (_, call_id), owed in open_calls.items():
+        if owed.over is None:
+            missing(call_id, owed, last)
+
+
+def _final(
+    owed: _Owed,
+    line: Line,
+    frame: frames.Final,
+    figures: Figures,
+    outages: _Outages,
+    server: int,
+    broken: Callable[[int, str], None],
+) -> None:
+    if owed.answered is not None:
+        broken(line.t, f"call {frame.id}: a second answer, {frame.answer} after {owed.answer}")
+    elif owed.over is not None and line.t > owed.over + 2 * figures.way:
+        if not outages.touches(server, owed.over, line.t):
+            broken(line.t, f"call {frame.id}: {frame.answer} {line.t - owed.over} us after the caller left")
+    elif owed.over is None and line.t > owed.t + owed.left and not outages.touches(server, owed.t, line.t):
+        broken(
+            line.t, f"call {frame.id}: {frame.answer} {line.t - owed.t - owed.left} us after its time was up"
+        )
+    owed.answered, owed.answer = line.t, frame.answer
+
+
+def _one_answer_in_transit(capture: Capture, figures: Figures, outages: _Outages, verdict: Verdict) -> None:
+    """Rule 1 for dialogues in transit, at the tandem's office: each Setup handed to the call server gets one
+    Answer or PushBack within `left`, unless it was called off or the link was lost."""
+    server = int(capture.facts["number"])
+    handed: dict[tuple[int, int], _Owed] = {}
+    last = 0
+
+    def broken(t: int, text: str) -> None:
+        verdict.breaks.append(Break(1, t, server, f"{capture.name}: {text}"))
+
+    def missing(ref: int, owed: _Owed, now: int) -> None:
+        due = (
+            owed.t + owed.left + 2 * figures.way
+        )  # the call server has it later by a way, and answers by one
+        if owed.answered is None and now > due and not outages.touches(server, owed.t, due):
+            broken(due, f"transit {ref}: no answer within its {owed.left} us")
+
+    for line in capture.lines:
+        last = max(last, line.t)
+        if isinstance(line, Note):
+            if line.what == "down":
+                for key, owed in list(handed.items()):
+                    if key[0] == line.facts["link"]:
+                        if owed.over is None:
+                            missing(key[1], owed, line.t)
+                        del handed[key]
+            continue
+        frame = line.frame
+        key = (line.link, getattr(frame, "ref", -1))
+        if line.way == "out":
+            if isinstance(frame, frames.Setup):
+                verdict.seen["transits"] += 1
+                handed[key] = _Owed(line.t, frame.left, line.link)
+            elif isinstance(frame, (frames.Cancel, frames.Release)):
+                off = handed.get(key)
+                if off and off.over is None:
+                    missing(frame.ref, off, line.t)
+                    off.over = line.t
+        elif isinstance(frame, (frames.Answer, frames.PushBack)):
+            owed_now = handed.get(key)
+            name = type(frame).__name__
+            if owed_now is None:
+                broken(line.t, f"transit {frame.ref}: {name} to nothing handed over")
+            elif owed_now.answered is not None:
+                broken(line.t, f"transit {frame.ref}: a second answer, {name} after {owed_now.answer}")
+            elif (
+                owed_now.over is not None
+                and line.t > owed_now.over + 2 * figures.way
+                and not outages.touches(server, owed_now.over, line.t)
+            ):
+                broken(line.t, f"transit {frame.ref}: {name} after it was called off")
+            if owed_now is not None:
+                owed_now.answered, owed_now.answer = line.t, name
+    for (_, ref), owed in handed.items():
+        if owed.over is None:
+            missing(ref, owed, last)
+
+
+# ---- rules 2 and 5 ----
+
+
+@dataclass(slots=True)
+class _Dial:
+    """One dial as its office saw it: `gone` when the sender can no longer take it for out."""
+
+    sender: int
+    t: int
+    office: str
+    number: int
+    gone: int | None = None
+    how: str = ""
+    stood: bool = False
+
+
+def _office_dials(capture: Capture) -> Iterator[tuple[tuple[int, int, int], _Dial]]:
+    """All set-ups that reached an office, each with its end: (sender, origin, dialogue) -> dial."""
+    out: dict[tuple[int, int], _Dial] = {}
+    for line in capture.lines:
+        if isinstance(line, Note):
+            if line.what == "down":
+                for key in [key for key in out if key[0] == line.facts["link"]]:
+                    _gone(out.pop(key), line.t, "reset")
+            continue
+        frame = line.frame
+        key = (line.link, getattr(frame, "ref", -1))
+        if line.way == "in" and isinstance(frame, frames.Setup):
+            dial = out[key] = _Dial(line.number, line.t, capture.name, frame.dial)
+            yield (line.number, frame.origin, frame.dialogue), dial
+        elif line.way == "in" and isinstance(frame, (frames.Cancel, frames.Release)) and key in out:
+            _gone(out.pop(key), line.t, "called off" if isinstance(frame, frames.Cancel) else "released")
+        elif line.way == "out" and isinstance(frame, (frames.PushBack, frames.Cut)) and key in out:
+            _gone(out.pop(key), line.t, "pushed back" if isinstance(frame, frames.PushBack) else "reset")
+        elif line.way == "out" and isinstance(frame, frames.Answer) and key in out:
+            out[key].stood = True
+
+
+def _gone(dial: _Dial, t: int, how: str) -> None:
+    if dial.gone is None:
+        dial.gone, dial.how = t, how
+
+
+def _dials(offices: list[Capture], figures: Figures, verdict: Verdict) -> None:
+    """Rule 2: of one dialogue, no dial reaches an office while an earlier one of the same sender is out.
+    Rule 5: none within the release wait of one that was called off or reset. The sender's ways to two offices
+    differ by the longest way at most, and so much is allowed."""
+    dialled: dict[tuple[int, int, int], list[_Dial]] = defaultdict(list)
+    for capture in offices:
+        for whose, dial in _office_dials(capture):
+            dialled[whose].append(dial)
+    for (sender, origin, dialogue), dials in dialled.items():
+        dials.sort(key=lambda dial: (dial.t, dial.number))
+        verdict.seen["dials"] += len(dials)
+        name = f"dialogue {origin}.{dialogue}"
+        for before, after in zip(dials, dials[1:], strict=False):
+            if before.gone is None or before.gone > after.t + figures.way:
+                text = (
+                    f"{name}: dial {after.number} at {after.office} while {before.number}"
+                    f" at {before.office} is out"
+                )
+                verdict.breaks.append(Break(2, after.t, sender, text))
+            elif before.how in ("called off", "reset"):
+                waited = after.t - before.gone
+                if waited < figures.release_wait - figures.way:
+                    text = (
+                        f"{name}: dial {after.number} at {after.office} {waited} us after {before.number} at"
+                        f" {before.office} was {before.how}; the wait is {figures.release_wait}"
+                    )
+                    verdict.breaks.append(Break(5, after.t, sender, text))
+
+
+# ---- rule 3 ----
+
+
+def _drains(
+    registers: list[Capture], offices: list[Capture], figures: Figures, outages: _Outages, verdict: Verdict
+) -> None:
+    """Rule 3: no set-up of a call server reaches an office later than the grace, and a way, after that call
+    server was told that it drains or is gone."""
+    told: dict[tuple[int, str], list[tuple[int, bool]]] = defaultdict(list)
+    for capture in registers:
+        known: dict[tuple[int, str], bool] = {}
+        for line in capture.lines:
+            if isinstance(line, Note) or not isinstance(line.frame, frames.List) or line.way != "out":
+                continue
+            lines = line.frame.lines
+            named = {one.office: one.standing == "ready" for one in lines}
+            if line.frame.kind == "whole":
+                named.update(
+                    {office: False for who, office in known if who == line.number and office not in named}
+                )
+            for office, ready in named.items():
+                known[line.number, office] = ready
+                told[line.number, office].append((line.t, ready))
+    for capture in offices:
+        for line in capture.lines:
+            if isinstance(line, Note) or line.way != "in" or not isinstance(line.frame, frames.Setup):
+                continue
+            history = told.get((line.number, capture.name), [])
+            at = bisect_right(history, (line.t, True)) - 1
+            if at < 0 or history[at][1]:
+                continue
+            while at > 0 and not history[at - 1][1]:
+                at -= 1  # first told of it here
+            since = history[at][0]
+            verdict.seen["setups_after_drain"] += 1
+            late = line.t - since - figures.drain_grace - 2 * figures.way
+            if late > 0 and not outages.touches(line.number, since, line.t):
+                text = f"a set-up reached {capture.name} {line.t - since} us after it was told that it drains"
+                verdict.breaks.append(Break(3, line.t, line.number, text))
+
+
+# ---- rule 4 ----
+
+
+def _cold(capture: Capture, figures: Figures, verdict: Verdict) -> None:
+    """Rule 4: while an office is cold, the set-ups that reach it within any window stay under multiple x its
+    capacity then x the window; and it never falls over."""
+    started, warm_after = capture.facts.get("started"), capture.facts.get("warm_after", 0)
+    number = int(capture.facts["number"])
+    window: list[tuple[int, int]] = []
+    first = 0
+    reported = False
+    for line in capture.lines:
+        if isinstance(line, Note):
+            if line.what == "fell_over":
+                verdict.breaks.append(Break(4, line.t, -1, f"{capture.name} fell over"))
+            continue
+        if started is None or line.way != "in" or not isinstance(line.frame, frames.Setup):
+            continue
+        age = line.t - int(started)
+        if age >= warm_after or line.number == number:
+            continue
+        verdict.seen["cold_setups"] += 1
+        share = capture.facts["cold_share"] + (1 - capture.facts["cold_share"]) * max(0, age) / warm_after
+        window.append((line.t, line.number))
+        while window[first][0] <= line.t - figures.cold_window:
+            first += 1
+        allowed = figures.cold_multiple * share * figures.cold_window / capture.facts["setup_us"] + COLD_SLACK
+        if len(window) - first > allowed and not reported:
+            reported = True
+            senders = ", ".join(str(who) for who in sorted({who for _, who in window[first:]}))
+            got = len(window) - first
+            text = f"{capture.name}: {got} set-ups in a window that allows {allowed:.1f}, from {senders}"
+            verdict.breaks.append(Break(4, line.t, -1, text))
--- /dev/null
+++ b/wellhitch/lab/play.py
@@ -0,0 +1,179 @@
+"""Plays a day: stand-ins and call servers on one network, then the judge over what was captured."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from wellhitch.emulator.loop import VirtualLoop
+from wellhitch.emulator.network import EmulatedNetwork
+from wellhitch.judge.rules import Verdict, judge
+from wellhitch.judge.service import Service, service
+from wellhitch.lab.fleet import HostAddresses, InProcess, LoopbackAddresses, Processes, zone_delay
+from wellhitch.net.seam import LoopbackNetwork
+from wellhitch.server.daemon import Log
+from wellhitch.settings.day import Day
+from wellhitch.settings.sheet import span
+from wellhitch.stand_ins.town import Town
+from wellhitch.stand_ins.troubles import schedule
+from wellhitch.trunk.capture import Capture, read, read_folder
+
+COME_UP_S = 3.0  # until all links stand, before the first caller
+LAST_S = 2.0  # after the last caller hung up: releases and counts are on their way
+LOOPBACK_WAY = 30_000  # us; a busy loop on a shared machine is the way's time there
+
+
+@dataclass
+class Played:
+    """What a day left."""
+
+    verdict: Verdict
+    service: Service
+    captures: list[Capture]
+    servers: dict[int, dict[str, Any]]
+    offices: dict[str, dict[str, int]]
+    left_open: int
+    seconds: float
+    lost_circuits: list[str] = field(default_factory=list)
+
+
+def quiet_log(number: int) -> Log:
+    """A log that is not kept."""
+
+    def log(event: str, **facts: Any) -> None:
+        pass
+
+    return log
+
+
+class VirtualWire:
+    """Faults of links on the emulated network."""
+
+    def __init__(self, net: EmulatedNetwork) -> None:
+        self.net = net
+
+    def cut(self, server: int, office: str) -> int:
+        """As `Wire`."""
+        return self.net.cut(f"server-{server}", office)
+
+    def spoil(self, server: int, office: str, what: str, on: bool) -> None:
+        """As `Wire`."""
+        setattr(self.net.spoil(f"server-{server}", office), what, on)
+
+
+def play_virtual(
+    day: Day,
+    folder: Path | None = None,
+    log: Callable[[int], Log] = quiet_log,
+    progress: Callable[[float, int], None] | None = None,
+) -> Played:
+    """A day in virtual time: the same on every run."""
+    began = time.perf_counter()
+    loop = VirtualLoop()
+    try:
+        net = EmulatedNetwork(loop, day.seed, zone_delay(day), day.net.jitter)
+        addresses = HostAddresses()
+        fleet = InProcess(loop, day, addresses, net, log)
+        town = Town(loop, day, net.at, addresses, fleet, VirtualWire(net), folder)
+        return _run(loop, day, town, fleet, folder, progress, began, loop.advance)
+    finally:
+        loop.close()
+
+
+def play_sockets(
+    day: Day,
+    folder: Path,
+    processes: bool,
+    log: Callable[[int], Log] = quiet_log,
+    progress: Callable[[float, int], None] | None = None,
+) -> Played:
+    """A day on real loopback sockets, in its own time."""
+    began = time.perf_counter()
+    loop = asyncio.new_event_loop()
+    fleet: InProcess | Processes | None = None
+    try:
+        addresses = LoopbackAddresses()
+        fleet = Processes(day, addresses, folder) if processes else InProcess(loop, day, addresses, None, log)
+        town = _SocketTown(loop, day, lambda host: LoopbackNetwork(loop), addresses, fleet, None, folder)
+
+        def advance(seconds: float) -> None:
+            loop.run_until_complete(asyncio.sleep(seconds))
+
+        return _run(loop, day, town, fleet, folder, progress, began, advance)
+    finally:
+        if fleet is not None:
+            fleet.close()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class _SocketTown(Town):
+    def longest_way(self) -> int:
+        return LOOPBACK_WAY
+
+
+def _run(
+    loop: asyncio.AbstractEventLoop,
+    day: Day,
+    town: Town,
+    fleet: InProcess | Processes,
+    folder: Path | None,
+    progress: Callable[[float, int], None] | None,
+    began: float,
+    advance: Callable[[float], None],
+) -> Played:
+    for one in day.exchanges:
+        fleet.start(one.number)
+    advance(COME_UP_S)
+    town.begin()
+    schedule(town)
+    whole = span(day.length) / 1e6
+    done = 0.0
+    while done < whole:
+        step = min(1.0, whole - done)
+        advance(step)
+        done += step
+        if progress:
+            progress(done, town.open)
+    town.finish()
+    tail = span(day.tail) / 1e6
+    spent = 0.0
+    while town.open and spent < tail:
+        advance(0.5)
+        spent += 0.5
+    for callers in town.callers.values():
+        callers.hang_up()
+    advance(LAST_S)
+    left_open = town.open
+    lost = [] if left_open else _lost_circuits(town)
+    servers = {one.number: fleet.status(one.number) or {} for one in day.exchanges}
+    fleet.close()
+    town.close()
+    if folder is not None:
+        captures = read_folder(folder)
+    else:
+        captures = [read(recorder.held, name) for name, recorder in town.recorders.items()]
+    offices = {office.name: dict(office.counts) for office in [*town.past, *town.offices.values()]}
+    return Played(
+        judge(captures),
+        service(captures),
+        captures,
+        servers,
+        offices,
+        left_open,
+        time.perf_counter() - began,
+        lost,
+    )
+
+
+def _lost_circuits(town: Town) -> list[str]:
+    """Groups of which an end still counts circuits when no dialogue is left: counted at the offices' ends, of
+    their own and of what the call servers told them."""
+    out = []
+    for number, trunks in sorted(town.trunks.items()):
+        for other, group in sorted(trunks.groups.items()):
+            if group.ours_count or group.theirs_count:
+                out.append(f"{number}-{other}: {group.ours_count} from there, {group.theirs_count} from here")
+    return out
--- /dev/null
+++ b/wellhitch/server/daemon.py
@@ -0,0 +1,395 @@
+"""The shell of a call server: its listeners, links and timers. It decides nothing; `Switch` is told what came."""
+
+import asyncio
+import random
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass
+from typing import Any, Protocol, cast
+
+import msgspec
+
+from wellhitch.interface import events as ev
+from wellhitch.net.seam import Listener, Network, now_us
+from wellhitch.server.metrics import exposition
+from wellhitch.server.switch import Switch
+from wellhitch.trunk import frames
+from wellhitch.trunk.port import KeptLink, Port
+
+MAX_LINE = 200  # bytes of an operator's request; every command is far shorter
+STOP_EVERY = 0.02  # s between looks at what is still owed while stopping
+
+
+class Log(Protocol):
+    """Takes one event of the log with its facts."""
+
+    def __call__(self, event: str, **facts: Any) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Doors:
+    """Where a call server listens and whom it follows, as host:port; empty for none."""
+
+    callers: str
+    peers: str
+    operators: str
+    register: str
+    centre: str
+
+
+class Daemon:
+    """One running call server on a loop and a network, real or emulated."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        network: Network,
+        opened: ev.Opened,
+        doors: Doors,
+        max_open: int,
+        boot: int,
+        log: Log,
+    ) -> None:
+        self.loop, self.network, self.doors, self.write_log = loop, network, doors, log
+        self.chance = random.Random(opened.seed ^ boot)
+        self.switch = Switch(opened, max_open, self)
+        self.hello = frames.Hello("call_server", self.switch.number, boot)
+        self.callers = _Callers(self)
+        self.peers_in = _Peers(self)
+        self.guides = _Guides(self)
+        self.offices: dict[str, _OfficeLink] = {}
+        self.peer_links: dict[str, KeptLink] = {}
+        self.listeners: dict[str, Listener] = {}
+        self.kept: list[KeptLink] = []
+        self.ports: dict[Port, None] = {}
+        self.operators: dict[asyncio.Transport, None] = {}
+        self.tells = opened.permissions.may_tell_peers and not opened.place.advised
+        self.stopped = False
+
+    def start(self) -> None:
+        """Listen, follow the register, begin to decide."""
+        self.write_log(
+            "started", number=self.switch.number, boot=self.hello.boot, seed=self.switch.opened.seed
+        )
+        self.switch.start(self.now())
+        self._listen("callers", self.doors.callers, lambda: self._port(self.callers, ("caller",)))
+        if self.doors.peers:
+            self._listen("peers", self.doors.peers, lambda: self._port(self.peers_in, ("call_server",)))
+        if self.doors.operators:
+            self._listen("operators", self.doors.operators, lambda: _Operator(self))
+        for address, role in ((self.doors.register, "register"), (self.doors.centre, "centre")):
+            if address:
+                self.kept.append(
+                    KeptLink(
+                        self.loop,
+                        self.network,
+                        address,
+                        self.guides,
+                        self.hello,
+                        (role,),
+                        self._fork(address),
+                    )
+                )
+
+    def now(self) -> int:
+        """The loop's time in us."""
+        return now_us(self.loop)
+
+    def _fork(self, what: str) -> random.Random:
+        """A generator of its own for each link, so that none disturbs another's draws."""
+        return random.Random(f"{self.switch.opened.seed} {self.hello.boot} {what}")
+
+    def _port(self, owner: Any, takes: tuple[str, ...]) -> Port:
+        port: Port
+        port = Port(self.loop, owner, self.hello, takes, down=lambda why: self.ports.pop(port, None))
+        self.ports[port] = None
+        return port
+
+    def _listen(self, what: str, address: str, factory: Callable[[], asyncio.BufferedProtocol]) -> None:
+        def ready(listener: Listener) -> None:
+            self.listeners[what] = listener
+            self.write_log("listening", what=what, address=listener.address)
+
+        self.network.listen(address, factory, ready)
+
+    def stop(self, within: int, done: Callable[[], None]) -> None:
+        """Take nothing more, wait `within` us at most for what is owed, then close all links."""
+        owed = self.switch.stop(self.now())
+        self.write_log("stopping", owed=owed)
+        until = self.now() + within
+
+        def look() -> None:
+            if self.switch.owed and self.now() < until:
+                self.loop.call_later(STOP_EVERY, look)
+                return
+            self.write_log("stopped", owed=self.switch.owed)
+            self.kill()
+            done()
+
+        look()
+
+    def kill(self) -> None:
+        """Close everything at once, whatever is owed."""
+        self.stopped = self.switch.stopping = True
+        for listener in self.listeners.values():
+            listener.close()
+        for link in [
+            *self.kept,
+            *self.peer_links.values(),
+            *(office.link for office in self.offices.values()),
+        ]:
+            link.close()
+        for port in list(self.ports):
+            port.close()
+        for transport in list(self.operators):
+            transport.close()
+
+    # -- Outlet --
+
+    def to_caller(self, link: Hashable, frame: frames.Any) -> bool:
+        """As `Outlet`."""
+        return cast(Port, link).send(frame)
+
+    def to_office(self, office: str, frame: frames.Any) -> bool:
+        """As `Outlet`."""
+        port = self._office_port(office)
+        return port.send(frame) if port else False
+
+    def _office_port(self, office: str) -> Port | None:
+        kept = self.offices.get(office)
+        return kept.link.port if kept else None
+
+    def withdraw(self, office: str, which: Callable[[frames.Any], bool]) -> list[frames.Any]:
+        """As `Outlet`."""
+        port = self._office_port(office)
+        return port.withdraw(which) if port else []
+
+    def stuck(self, office: str) -> bool:
+        """As `Outlet`."""
+        port = self._office_port(office)
+        return bool(port and port.stuck)
+
+    def reset(self, office: str, why: str) -> None:
+        """As `Outlet`."""
+        port = self._office_port(office)
+        if port:
+            port.fail(why, tell=False)
+
+    def keep_link(self, office: str, address: str) -> None:
+        """As `Outlet`."""
+        if office not in self.offices and not self.stopped:
+            self.offices[office] = _OfficeLink(self, office, address)
+
+    def drop_link(self, office: str) -> None:
+        """As `Outlet`."""
+        kept = self.offices.pop(office, None)
+        if kept:
+            kept.link.close()
+            self.switch.office_down(office, "gone from the list", self.now())
+
+    def tell_peers(self, text: bytes) -> None:
+        """As `Outlet`."""
+        word = frames.Word(text)
+        for kept in self.peer_links.values():
+            if kept.port:
+                kept.port.send(word)
+
+    def timer(self, after: int, ring: Callable[[int], None]) -> asyncio.TimerHandle:
+        """As `Outlet`."""
+        return self.loop.call_later(after / 1e6, self._ring, ring)
+
+    def _ring(self, ring: Callable[[int], None]) -> None:
+        if not self.stopped:
+            ring(self.now())
+
+    def log(self, event: str, **facts: Any) -> None:
+        """As `Outlet`."""
+        self.write_log(event, **facts)
+
+    # -- what the register names --
+
+    def follow_peers(self, lines: list[frames.ListLine]) -> None:
+        """Keep a link to each peer that the list names, where words are told at all."""
+        if not self.tells:
+            return
+        for line in lines:
+            address = line.peer
+            if line.number != self.switch.number and address and address not in self.peer_links:
+                self.peer_links[address] = KeptLink(
+                    self.loop,
+                    self.network,
+                    address,
+                    self.peers_in,
+                    self.hello,
+                    ("call_server",),
+                    self._fork(address),
+                )
+
+    def status(self) -> dict[str, Any]:
+        """What an operator sees: state as it is."""
+        switch = self.switch
+        x = switch.exchange
+        return {
+            "number": switch.number,
+            "held": len(switch.taken),
+            "owed": switch.owed,
+            "own_price": round(x.own_price, 4),
+            "revision": switch.revision,
+            "offices": [
+                {
+                    "id": end.id,
+                    "number": end.number,
+                    "standing": end.standing.name.lower(),
+                    "up": end.up,
+                    "dials": len(end.dials),
+                    "price": round(x.offices[end.id].price, 4) if end.id in x.offices else None,
+                }
+                for end in switch.offices.values()
+            ],
+            "groups": {
+                str(number): {"size": g.size, "free": g.free, "ours": g.ours_count, "theirs": g.theirs_count}
+                for number, g in sorted(switch.groups.items())
+            },
+            "counts": dict(sorted(switch.counts.items())),
+        }
+
+
+class _Part:
+    """What the owners of links share: heartbeats without circuits."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+
+    def link_up(self, port: Port) -> None:
+        """A link stands."""
+
+    def link_down(self, port: Port, why: str) -> None:
+        """A link is gone."""
+
+    def link_held(self, port: Port) -> int:
+        """Nothing is held on these links."""
+        return 0
+
+
+class _Callers(_Part):
+    """Links from callers."""
+
+    def link_frame(self, port: Port, frame: frames.Any) -> None:
+        """A caller says something."""
+        now = self.daemon.now()
+        if isinstance(frame, frames.Call):
+            self.daemon.switch.call(port, frame, now)
+        elif isinstance(frame, frames.Leave):
+            self.daemon.switch.leave(port, frame.id, now)
+
+    def link_down(self, port: Port, why: str) -> None:
+        """A caller's link is gone."""
+        self.daemon.switch.caller_lost(port, self.daemon.now())
+
+
+class _Peers(_Part):
+    """Links with other call servers."""
+
+    def link_frame(self, port: Port, frame: frames.Any) -> None:
+        """A peer says something."""
+        if isinstance(frame, frames.Word):
+            self.daemon.switch.word(port.peer.number, frame.text, self.daemon.now())
+
+
+class _Guides(_Part):
+    """Links to the register and the centre."""
+
+    def link_frame(self, port: Port, frame: frames.Any) -> None:
+        """The register or the centre says something."""
+        if isinstance(frame, frames.List):
+            self.daemon.switch.listed(frame, self.daemon.now())
+            self.daemon.follow_peers(frame.lines)
+        elif isinstance(frame, frames.Advice):
+            self.daemon.switch.advised(frame)
+
+
+class _OfficeLink:
+    """The link to one office."""
+
+    def __init__(self, daemon: Daemon, office: str, address: str) -> None:
+        self.daemon, self.office = daemon, office
+        self.link = KeptLink(
+            daemon.loop, daemon.network, address, self, daemon.hello, ("office",), daemon._fork(office)
+        )
+
+    def link_up(self, port: Port) -> None:
+        """The office answers."""
+        self.daemon.switch.office_up(self.office, port.peer.boot, self.daemon.now())
+
+    def link_down(self, port: Port, why: str) -> None:
+        """The office is lost."""
+        if self.daemon.offices.get(self.office) is self:
+            self.daemon.switch.office_down(self.office, why, self.daemon.now())
+
+    def link_held(self, port: Port) -> int:
+        """Circuits that our dials hold there."""
+        return self.daemon.switch.held_for(self.office)
+
+    def link_frame(self, port: Port, frame: frames.Any) -> None:
+        """The office says something."""
+        switch, now = self.daemon.switch, self.daemon.now()
+        match frame:
+            case frames.Passed():
+                switch.passed(self.office, frame, now)
+            case frames.Answer():
+                switch.answered(self.office, frame, now)
+            case frames.PushBack():
+                switch.pushed_back(self.office, frame, now)
+            case frames.Cut(ref):
+                switch.cut(self.office, ref, now)
+            case frames.Released():
+                switch.released(self.office, frame, now)
+            case frames.Setup():
+                switch.transit(self.office, frame, now)
+            case frames.Cancel(ref) | frames.Release(ref):
+                switch.transit_over(self.office, ref, now)
+            case frames.GroupState():
+                switch.group_told(self.office, frame, now)
+            case frames.LoadReport():
+                switch.load_told(self.office, frame, now)
+            case frames.Heartbeat(held):
+                switch.counts_compared(self.office, held, now)
+
+
+class _Operator(asyncio.BufferedProtocol):
+    """An operator's line: `status` or `metrics`, answered and closed."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self.daemon = daemon
+        self.buffer = bytearray(MAX_LINE)
+        self.filled = 0
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Somebody asks."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.daemon.operators[self.transport] = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """They left."""
+        if self.transport:
+            self.daemon.operators.pop(self.transport, None)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Room for the rest of the line."""
+        return memoryview(self.buffer)[self.filled :]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Part of a line came."""
+        self.filled += nbytes
+        line, newline, _ = bytes(self.buffer[: self.filled]).partition(b"\n")
+        if not self.transport or not (newline or self.filled == MAX_LINE):
+            return
+        asked = line.strip().decode("utf-8", "replace")
+        if asked == "status":
+            said = msgspec.json.format(msgspec.json.encode(self.daemon.status()), indent=2) + b"\n"
+        elif asked == "metrics":
+            said = exposition(self.daemon.switch)
+        else:
+            said = f"unknown request {asked[:40]!r}: status or metrics\n".encode()
+        self.transport.write(said)
+        self.transport.close()
--- /dev/null
+++ b/wellhitch/server/dials.py
@@ -0,0 +1,150 @@
+"""Records of the call server's own: what it has taken, and each dial from the send to the last circuit freed.
+Pure. The decisions keep their own records; these hold what carrying out needs and nothing is decided by them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Protocol
+
+from wellhitch.interface.events import Blame, Ending, Standing
+from wellhitch.trunk import frames
+
+
+class Timer(Protocol):
+    """A timer that can be taken back."""
+
+    def cancel(self) -> None:
+        """It will not ring."""
+
+
+class Step(Enum):
+    """How far a dial is."""
+
+    PASSING = auto()  # through the own processor, not sent yet
+    OUT = auto()  # sent, unanswered
+    ANSWERING = auto()  # answered, the answer passes the own processor
+    STANDS = auto()
+    FREEING = auto()  # over; circuits held until the far end confirms or the release wait is over
+    FREE = auto()
+
+
+LEGAL: dict[Step, tuple[Step, ...]] = {
+    Step.PASSING: (Step.OUT, Step.FREE),
+    Step.OUT: (Step.ANSWERING, Step.FREEING, Step.FREE),
+    Step.ANSWERING: (Step.STANDS, Step.FREEING, Step.FREE),
+    Step.STANDS: (Step.FREEING, Step.FREE),
+    Step.FREEING: (Step.FREE,),
+    Step.FREE: (),
+}
+"""Every way a dial may go; anything else is a defect of the server and raises."""
+
+
+@dataclass(slots=True, eq=False)
+class OfficeEnd:
+    """One office as the call server reaches it."""
+
+    id: str
+    number: int
+    address: str
+    standing: Standing
+    started: int | None
+    up: bool = False
+    boot: int = 0
+    next_ref: int = 0
+    dials: dict[int, DialOut] = field(default_factory=dict)
+    passing: dict[int, DialOut] = field(default_factory=dict)
+    transits: dict[int, Taken] = field(default_factory=dict)
+    probed: Timer | None = None
+    differs_since: int | None = None
+
+    def ref(self) -> int:
+        """A ref never used on this link before."""
+        self.next_ref += 1
+        return self.next_ref
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A dialogue taken: from a caller (`link` and its id there) or in transit (`home` and the ref there)."""
+
+    id: int
+    use_case: str
+    destination: int
+    called: str | None
+    width: int
+    origin: int
+    origin_id: int
+    link: object | None = None
+    caller_id: int = 0
+    home: OfficeEnd | None = None
+    home_ref: int = 0
+    owed: bool = True
+    dials: list[DialOut] = field(default_factory=list)
+    last_blame: Blame = Blame.NONE
+
+    @property
+    def active(self) -> DialOut | None:
+        """The dial that is out or stands, if any."""
+        last = self.dials[-1] if self.dials else None
+        return last if last and last.step in (Step.PASSING, Step.OUT, Step.ANSWERING, Step.STANDS) else None
+
+    @property
+    def stands(self) -> bool:
+        """Whether it stands."""
+        return bool(self.dials) and self.dials[-1].step is Step.STANDS
+
+
+@dataclass(slots=True, eq=False)
+class DialOut:
+    """One dial. `ref` names it on the office's link, `home_ref` on the own office's, once each was used."""
+
+    taken: Taken
+    number: int
+    office: OfficeEnd
+    home: OfficeEnd
+    sent: int
+    until: int
+    step: Step = Step.PASSING
+    ref: int = 0
+    home_ref: int = 0
+    timer: Timer | None = None
+
+    def move(self, step: Step) -> None:
+        """Go to the next step. Raises RuntimeError where the table does not allow it."""
+        if step not in LEGAL[self.step]:
+            raise RuntimeError(f"dial {self.taken.id}.{self.number}: {self.step.name} to {step.name}")
+        self.step = step
+
+
+ENDINGS: dict[str, tuple[Ending, Blame]] = {
+    "no_circuit": (Ending.FULL, Blame.NO_CIRCUIT),
+    "turned_back": (Ending.FULL, Blame.TURNED_BACK),
+    "far_processor_full": (Ending.FULL, Blame.FAR_PROCESSOR_FULL),
+    "processor_full": (Ending.FULL, Blame.PROCESSOR_FULL),
+    "lines_busy": (Ending.FAULT, Blame.LINES_BUSY),
+    "fault": (Ending.FAULT, Blame.NONE),
+    "unreachable": (Ending.UNREACHABLE, Blame.NONE),
+}
+"""What a PushBack's reason means to the decisions."""
+
+STANDINGS = {"ready": Standing.READY, "draining": Standing.DRAINING, "gone": Standing.GONE}
+
+
+def turned_back_reason(taken: Taken) -> str:
+    """Reason told upstream when a dialogue in transit was not brought on: what its last dial met beyond."""
+    if taken.last_blame in (Blame.PROCESSOR_FULL, Blame.FAR_PROCESSOR_FULL):
+        return "far_processor_full"
+    return "lines_busy" if taken.last_blame is Blame.LINES_BUSY else "turned_back"
+
+
+def as_event_entry(end: OfficeEnd) -> tuple[str, int, Standing, int | None]:
+    """The fields of a list entry for the decisions."""
+    return end.id, end.number, end.standing, end.started
+
+
+def load_of(load: frames.Load | None) -> tuple[float | None, int | None, float | None, float | None]:
+    """A load report's figures, None where not told."""
+    if load is None:
+        return None, None, None, None
+    return load.utilisation, load.wait, load.takes_per_s, load.hold_back
--- /dev/null
+++ b/wellhitch/server/switch.py
@@ -0,0 +1,743 @@
+"""The call server without its sockets: frames and timers in, frames and timers out through `Outlet`.
+
+It tells the decisions (`wellhitch.rules.decide`) what occurs, one event at a time, and carries out what they
+ask for. What it adds are guards for what the decisions cannot see, each said where it stands:
+a frame that waits here while its office drains is taken back; a second answer is never sent; a fault in the
+decisions costs the one dialogue its chance, not its answer.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Hashable
+from typing import Any, Protocol
+
+from wellhitch.interface import actions as act
+from wellhitch.interface import events as ev
+from wellhitch.interface.state import Exchange
+from wellhitch.rules import decide
+from wellhitch.server.dials import (
+    ENDINGS,
+    STANDINGS,
+    DialOut,
+    OfficeEnd,
+    Step,
+    Taken,
+    Timer,
+    load_of,
+    turned_back_reason,
+)
+from wellhitch.trunk import frames
+from wellhitch.trunk.circuits import Group, disagreement
+
+ANSWER_MARGIN = 20_000  # us; taken off each time-out so that the answer is there before the time is up: the
+# way back over loopback and a busy turn of the loop take less
+TELL_EVERY = (
+    50_000  # us; group counts are told to the own office and the decisions at most so often: a dialogue
+)
+# changes them four times, and fresher counts than a set-up's way are of no use
+STARTED_SLACK = 500_000  # us; two ages of one start differ by their frames' ways; a restart by more
+PROBE_TIMEOUT = 250_000  # us; a processor that answers later than this tells nothing that a dial does not
+
+
+class Outlet(Protocol):
+    """The way out: what the shell does for the switch."""
+
+    def to_caller(self, link: Hashable, frame: frames.Any) -> bool:
+        """Send to a caller."""
+
+    def to_office(self, office: str, frame: frames.Any) -> bool:
+        """Send to an office; False where its link is down."""
+
+    def withdraw(self, office: str, which: Callable[[frames.Any], bool]) -> list[frames.Any]:
+        """Take back frames to an office that wait here."""
+
+    def stuck(self, office: str) -> bool:
+        """Whether frames were handed out that the office does not read."""
+
+    def reset(self, office: str, why: str) -> None:
+        """Break the link to an office; link_down follows."""
+
+    def keep_link(self, office: str, address: str) -> None:
+        """Keep a link to an office up."""
+
+    def drop_link(self, office: str) -> None:
+        """Let the link to an office go."""
+
+    def tell_peers(self, text: bytes) -> None:
+        """Send a word to every other call server."""
+
+    def timer(self, after: int, ring: Callable[[int], None]) -> Timer:
+        """Ring after so many us, with the time then."""
+
+    def log(self, event: str, **facts: Any) -> None:
+        """One line of the log."""
+
+
+class Switch:
+    """One exchange's call server."""
+
+    def __init__(self, opened: ev.Opened, max_open: int, outlet: Outlet) -> None:
+        self.opened, self.max_open, self.outlet = opened, max_open, outlet
+        self.number = opened.place.number if opened.place.number is not None else -1
+        self.exchange = Exchange()
+        self.counts: Counter[str] = Counter()
+        self.taken: dict[int, Taken] = {}
+        self.by_caller: dict[tuple[Hashable, int], Taken] = {}
+        self.offices: dict[str, OfficeEnd] = {}
+        self.groups: dict[int, Group] = {}
+        self.advice: list[int] = []
+        self.revision = -1
+        self.stopping = False
+        self._next_id = 0
+        self._events: deque[ev.Event] = deque()
+        self._feeding = False
+        self._untold: set[int] = set()
+        self._tell_timer: Timer | None = None
+        self._use_cases = {use.name for use in opened.use_cases}
+
+    # ---- the decisions ----
+
+    def start(self, now: int) -> None:
+        """Begin: nothing is known but the facts of the place."""
+        self._feed(self.opened, now)
+
+    def _feed(self, event: ev.Event, now: int) -> None:
+        """Tell the decisions one event, carry their actions out in order, then the events that came of them."""
+        self._events.append(event)
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                self.counts[f"event.{type(event).__name__}"] += 1
+                try:
+                    wanted = decide(self.exchange, event, now)
+                except Exception as fault:  # the call server outlives a fault in one decision
+                    self._rescue(event, fault, now)
+                    continue
+                for action in wanted:
+                    self._carry_out(action, now)
+        finally:
+            self._feeding = False
+
+    def _rescue(self, event: ev.Event, fault: Exception, now: int) -> None:
+        """Guards against a decision that raises: the dialogue concerned gets its one final answer, its dial is
+        called off, and all others go on."""
+        self.counts["decision_faults"] += 1
+        where = fault.__traceback__
+        while where and where.tb_next:
+            where = where.tb_next
+        line = where.tb_lineno if where else 0
+        self.outlet.log(
+            "decision_fault", fault=f"{type(fault).__name__}: {fault}", line=line, told=repr(event)
+        )
+        if isinstance(event, ev.Rang) and event.token == 0:
+            # The interval's timer is armed by the decision that raised; without it no price would step again.
+            self.outlet.timer(TELL_EVERY * 5, lambda at: self._feed(ev.Rang(0), at))
+        about = getattr(event, "dialogue", event.token - 1 if isinstance(event, ev.Rang) else -1)
+        self.exchange.dialogues.pop(about, None)
+        taken = self.taken.get(about)
+        if taken and not taken.stands:
+            self._answer(taken, "forfeited", 0, now)
+
+    def _carry_out(self, action: act.Action, now: int) -> None:
+        match action:
+            case act.Send(dialogue, office, within):
+                self._send(dialogue, office, within, now)
+            case act.Cancel(dialogue, number):
+                taken = self.taken.get(dialogue)
+                dial = taken.dials[number] if taken and number < len(taken.dials) else None
+                if dial and dial.step in (Step.PASSING, Step.OUT, Step.ANSWERING):
+                    self._give_up_dial(dial, ev.Ending.CANCELLED, now)
+            case act.PushBack(dialogue, come_back):
+                if dialogue in self.taken:
+                    self._answer(self.taken[dialogue], "pushed_back", come_back, now)
+            case act.Forfeit(dialogue):
+                if dialogue in self.taken:
+                    self._answer(self.taken[dialogue], "forfeited", 0, now)
+            case act.Wake(after, token):
+                self.outlet.timer(after, lambda at: self._feed(ev.Rang(token), at))
+            case act.Probe(office):
+                self._probe(office, now)
+            case act.TellPeers(text):
+                self.outlet.tell_peers(text)
+            case act.Follow():
+                pass  # the register pushes to every link from its Hello on
+
+    # ---- callers ----
+
+    def call(self, link: Hashable, call: frames.Call, now: int) -> None:
+        """A caller hands a dialogue over."""
+        key = (link, call.id)
+        fault = self._call_fault(call, key)
+        if fault:
+            # Turned away before it is taken, as the limits of this place say; it still gets its one answer.
+            self.counts[f"turned_away.{fault}"] += 1
+            self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0))
+            return
+        taken = self._take(call, self.number, 0, now)
+        taken.link, taken.caller_id, taken.origin_id = link, call.id, taken.id
+        self.by_caller[key] = taken
+        home = self._home()
+        if home:
+            self.outlet.to_office(home.id, frames.Pass(0, "look"))
+        advised = self.advice[call.destination] if 0 <= call.destination < len(self.advice) else -1
+        self._arrived(taken, call.left, call.redialled, advised, now)
+
+    def _call_fault(self, call: frames.Call, key: tuple[Hashable, int]) -> str:
+        if self.stopping:
+            return "stopping"
+        if len(self.taken) >= self.max_open:
+            return "max_open"
+        if call.use_case not in self._use_cases:
+            return "unknown_use_case"
+        if call.width < 1 or call.left <= 0:
+            return "no_time_or_width"
+        return "id_in_use" if key in self.by_caller else ""
+
+    def _take(self, call: frames.Call | frames.Setup, origin: int, origin_id: int, now: int) -> Taken:
+        self._next_id += 1
+        taken = Taken(
+            self._next_id, call.use_case, call.destination, call.called, call.width, origin, origin_id
+        )
+        self.taken[taken.id] = taken
+        self.counts["taken"] += 1
+        return taken
+
+    def _arrived(self, taken: Taken, left: int, redialled: bool, advised: int, now: int) -> None:
+        self._feed(
+            ev.Arrived(
+                dialogue=taken.id,
+                use_case=taken.use_case,
+                destination=taken.destination,
+                called=taken.called,
+                left=max(0, left - ANSWER_MARGIN),
+                width=taken.width,
+                advised=None if advised < 0 or taken.home else advised,
+                redialled=redialled,
+                transit=taken.home is not None,
+            ),
+            now,
+        )
+
+    def leave(self, link: Hashable, caller_id: int, now: int) -> None:
+        """A caller hung up: before its answer, or to end a dialogue that stood."""
+        taken = self.by_caller.get((link, caller_id))
+        if taken:
+            self._left(taken, now)
+
+    def caller_lost(self, link: Hashable, now: int) -> None:
+        """A caller's link is gone: all its dialogues are hung up."""
+        for taken in [taken for (key, _), taken in self.by_caller.items() if key == link]:
+            self._left(taken, now)
+
+    def _left(self, taken: Taken, now: int) -> None:
+        """The upstream end is over, whoever it was."""
+        stood, dial = taken.stands, taken.active
+        taken.owed = False
+        if dial and stood:
+            if dial.home.up:
+                self.outlet.to_office(dial.home.id, frames.Pass(0, "release"))
+            self._end_dial(dial, frames.Release(dial.ref), now)
+            self._forget(taken)
+            self._dial_ended(dial, ev.Ending.ENDED_WELL, ev.Blame.NONE, 0, True, None, now)
+            return
+        self._forget(taken)
+        self._feed(ev.WentAway(taken.id), now)
+        if dial:
+            self._end_dial(dial, frames.Cancel(dial.ref), now)
+
+    def _answer(self, taken: Taken, answer: str, come_back: int, now: int) -> None:
+        """The one final answer. Guards against a second one: what was answered owes nothing more."""
+        if not taken.owed:
+            self.counts["second_answers_kept_back"] += 1
+            return
+        taken.owed = False
+        self.counts[f"answer.{answer}"] += 1
+        if taken.link is not None:
+            self.outlet.to_caller(taken.link, frames.Final(taken.caller_id, answer, come_back))
+        elif taken.home is not None:
+            if answer == "stands":
+                self.outlet.to_office(taken.home.id, frames.Answer(taken.home_ref))
+            else:
+                reason = turned_back_reason(taken)
+                self.outlet.to_office(taken.home.id, frames.PushBack(taken.home_ref, reason))
+        if answer != "stands":
+            dial = taken.active
+            if dial:  # given up while a dial is out: only after a fault in the decisions
+                self._end_dial(dial, frames.Cancel(dial.ref), now)
+            self._forget(taken)
+
+    def _forget(self, taken: Taken) -> None:
+        self.taken.pop(taken.id, None)
+        if taken.link is not None:
+            self.by_caller.pop((taken.link, taken.caller_id), None)
+        elif taken.home is not None:
+            taken.home.transits.pop(taken.home_ref, None)
+
+    # ---- dials ----
+
+    def _home(self) -> OfficeEnd | None:
+        """The own office whose link is up, the newest that the list calls ready first."""
+        own = [end for end in self.offices.values() if end.number == self.number and end.up]
+        ready = [end for end in own if end.standing is ev.Standing.READY]
+        return max(ready or own, key=lambda end: end.started or 0, default=None)
+
+    def _send(self, dialogue: int, office: str, within: int, now: int) -> None:
+        """Carry out a send: seize the circuits, pass the own processor, then out. What cannot be sent comes
+        back as not sent, or unreachable, at once."""
+        taken, end = self.taken.get(dialogue), self.offices.get(office)
+        if taken is None or end is None or taken.active:
+            self.counts["sends_refused"] += 1
+            self.outlet.log("send_refused", dialogue=dialogue, office=office)
+            return
+        home = self._home()
+        dial = DialOut(taken, len(taken.dials), end, home or end, now, now + within)
+        taken.dials.append(dial)
+        self.counts["sends"] += 1
+        group = self.groups.get(end.number)
+        if home is None:
+            self._not_sent(dial, ev.Ending.NOT_SENT, ev.Blame.PROCESSOR_FULL, now)
+        elif not end.up:
+            self._not_sent(dial, ev.Ending.UNREACHABLE, ev.Blame.NONE, now)
+        elif group is not None and not group.seize(dial, taken.width):
+            self._not_sent(dial, ev.Ending.NOT_SENT, ev.Blame.NO_CIRCUIT, now)
+        else:
+            self._changed(end.number)
+            dial.timer = self.outlet.timer(max(0, within), lambda at: self._overdue(dial, at))
+            dial.home_ref = home.ref()
+            home.passing[dial.home_ref] = dial
+            self.outlet.to_office(home.id, frames.Pass(dial.home_ref, "setup"))
+
+    def _not_sent(self, dial: DialOut, ending: ev.Ending, blame: ev.Blame, now: int) -> None:
+        dial.move(Step.FREE)
+        self._free(dial)
+        self._dial_ended(dial, ending, blame, 0, False, None, now)
+
+    def _dial_ended(
+        self,
+        dial: DialOut,
+        ending: ev.Ending,
+        blame: ev.Blame,
+        wait: int,
+        over: bool,
+        load: frames.Load | None,
+        now: int,
+    ) -> None:
+        taken = dial.taken
+        taken.last_blame = blame
+        self.counts[f"ending.{ending.name.lower()}"] += 1
+        self.counts[f"blame.{blame.name.lower()}"] += 1
+        report = self._report(dial.office.number, load)
+        self._feed(
+            ev.DialEnded(taken.id, dial.number, dial.office.id, ending, blame, wait, over, report), now
+        )
+
+    def passed(self, office: str, frame: frames.Passed, now: int) -> None:
+        """The own processor is done with a step of a dial."""
+        home = self.offices[office]
+        dial = home.passing.pop(frame.ref, None)
+        if dial is None:
+            self.counts["strays.Passed"] += 1
+            return
+        if frame.what == "setup" and dial.step is Step.PASSING:
+            self._passed_setup(dial, frame.taken, now)
+        elif frame.what == "answer" and dial.step is Step.ANSWERING:
+            self._stands(dial, now)
+        else:
+            self.counts["strays.Passed"] += 1
+
+    def _passed_setup(self, dial: DialOut, accepted: bool, now: int) -> None:
+        taken, end = dial.taken, dial.office
+        if not accepted:
+            self._stop_timer(dial)
+            self._not_sent(dial, ev.Ending.NOT_SENT, ev.Blame.PROCESSOR_FULL, now)
+            return
+        if end.standing is not ev.Standing.READY or not end.up:
+            # Guards rule 3: the office drained, or its link was lost, while the set-up waited in the own
+            # processor. Nothing was sent, so the decisions may dial elsewhere at once.
+            self.counts["kept_back.drained" if end.up else "kept_back.unreachable"] += 1
+            self._stop_timer(dial)
+            ending = ev.Ending.NOT_SENT if end.up else ev.Ending.UNREACHABLE
+            self._not_sent(dial, ending, ev.Blame.NONE, now)
+            return
+        dial.move(Step.OUT)
+        dial.ref = end.ref()
+        end.dials[dial.ref] = dial
+        left = dial.until - now
+        self.outlet.to_office(
+            end.id,
+            frames.Setup(
+                dial.ref,
+                taken.origin,
+                taken.origin_id,
+                dial.number,
+                taken.use_case,
+                taken.destination,
+                taken.called,
+                left,
+                taken.width,
+            ),
+        )
+
+    def _stands(self, dial: DialOut, now: int) -> None:
+        dial.move(Step.STANDS)
+        self._stop_timer(dial)
+        self._answer(dial.taken, "stands", 0, now)
+        self._feed(ev.Stood(dial.taken.id, dial.number, now - dial.sent), now)
+
+    def _overdue(self, dial: DialOut, now: int) -> None:
+        if dial.step in (Step.PASSING, Step.OUT, Step.ANSWERING):
+            self._give_up_dial(dial, ev.Ending.TIMED_OUT, now)
+
+    def _give_up_dial(self, dial: DialOut, ending: ev.Ending, now: int) -> None:
+        self._end_dial(dial, frames.Cancel(dial.ref), now)
+        self._dial_ended(dial, ending, ev.Blame.NONE, 0, False, None, now)
+
+    def _end_dial(self, dial: DialOut, word: frames.Cancel | frames.Release, now: int) -> None:
+        """End a dial from this end. Where it was sent, the circuits stay taken until the far end confirms or
+        the release wait is over; a set-up still waiting here is taken back instead."""
+        self._stop_timer(dial)
+        dial.home.passing.pop(dial.home_ref, None)
+        if dial.step is Step.PASSING:
+            dial.move(Step.FREE)
+            self._free(dial)
+            return
+        ref = dial.ref
+        back = self.outlet.withdraw(
+            dial.office.id, lambda frame: isinstance(frame, frames.Setup) and frame.ref == ref
+        )
+        if back or not dial.office.up:
+            dial.office.dials.pop(ref, None)
+            dial.move(Step.FREE)
+            self._free(dial)
+            return
+        dial.move(Step.FREEING)
+        self.outlet.to_office(dial.office.id, word)
+        dial.timer = self.outlet.timer(self.opened.release.release_wait, lambda at: self._freed(dial, at))
+
+    def _freed(self, dial: DialOut, now: int) -> None:
+        """The far end confirmed, or the release wait is over."""
+        dial.office.dials.pop(dial.ref, None)
+        if dial.step is Step.FREEING:
+            dial.move(Step.FREE)
+            self._stop_timer(dial)
+            self._free(dial)
+
+    def _stop_timer(self, dial: DialOut) -> None:
+        if dial.timer:
+            dial.timer.cancel()
+            dial.timer = None
+
+    # ---- what an office says ----
+
+    def answered(self, office: str, frame: frames.Answer, now: int) -> None:
+        """An office answered a set-up."""
+        dial = self.offices[office].dials.get(frame.ref)
+        self._heard_load(office, frame.load, now)
+        if dial is None or dial.step is not Step.OUT:
+            # Crossed by our cancel, told twice, or after the release: the dial is over, or stands already.
+            self.counts["strays.Answer"] += 1
+            return
+        dial.move(Step.ANSWERING)
+        dial.home_ref = dial.home.ref()
+        dial.home.passing[dial.home_ref] = dial
+        self.outlet.to_office(dial.home.id, frames.Pass(dial.home_ref, "answer"))
+
+    def pushed_back(self, office: str, frame: frames.PushBack, now: int) -> None:
+        """An office, or a tandem, did not take a set-up."""
+        end = self.offices[office]
+        dial = end.dials.get(frame.ref)
+        if dial is None or dial.step not in (Step.OUT, Step.FREEING):
+            self.counts["strays.PushBack"] += 1
+            return
+        if dial.step is Step.FREEING:  # crossed by our cancel: nothing is held there any more
+            self._freed(dial, now)
+            return
+        del end.dials[frame.ref]
+        self._stop_timer(dial)
+        dial.move(Step.FREE)
+        self._free(dial)
+        ending, blame = ENDINGS.get(frame.reason, (ev.Ending.FAULT, ev.Blame.NONE))
+        self._dial_ended(dial, ending, blame, max(0, frame.wait), False, frame.load, now)
+
+    def cut(self, office: str, ref: int, now: int) -> None:
+        """An office lost a dial."""
+        dial = self.offices[office].dials.get(ref)
+        if dial is None:
+            self.counts["strays.Cut"] += 1
+            return
+        self._reset_dial(dial, now)
+
+    def _reset_dial(self, dial: DialOut, now: int) -> None:
+        """A dial was lost at the far end or with a link. Its circuits wait out the release wait, for the far
+        end may not know yet."""
+        dial.office.dials.pop(dial.ref, None)
+        dial.home.passing.pop(dial.home_ref, None)
+        if dial.step in (Step.FREEING, Step.FREE):
+            self._freed(dial, now)
+            return
+        stood = dial.step is Step.STANDS
+        taken = dial.taken
+        self._stop_timer(dial)
+        if dial.step is Step.PASSING:
+            dial.move(Step.FREE)
+            self._free(dial)
+        else:
+            dial.move(Step.FREEING)
+            dial.timer = self.outlet.timer(self.opened.release.release_wait, lambda at: self._freed(dial, at))
+        if stood:
+            self.counts["cut"] += 1
+            if taken.link is not None:
+                self.outlet.to_caller(taken.link, frames.Ended(taken.caller_id))
+            elif taken.home is not None:
+                self.outlet.to_office(taken.home.id, frames.Cut(taken.home_ref))
+            self._forget(taken)
+        self._dial_ended(dial, ev.Ending.RESET, ev.Blame.NONE, 0, stood, None, now)
+
+    def released(self, office: str, frame: frames.Released, now: int) -> None:
+        """An office freed what a dial held there."""
+        self._heard_load(office, frame.load, now)
+        dial = self.offices[office].dials.get(frame.ref)
+        if dial is None or dial.step is not Step.FREEING:
+            self.counts["strays.Released"] += 1
+            return
+        self._freed(dial, now)
+
+    def transit(self, office: str, setup: frames.Setup, now: int) -> None:
+        """The own office hands over a dialogue in transit."""
+        home = self.offices[office]
+        wrong = setup.ref in home.transits or setup.use_case not in self._use_cases
+        if wrong or home.number != self.number or len(self.taken) >= self.max_open or setup.width < 1:
+            self.counts["turned_away.transit"] += 1
+            self.outlet.to_office(office, frames.PushBack(setup.ref, "turned_back"))
+            return
+        taken = self._take(setup, setup.origin, setup.dialogue, now)
+        taken.home, taken.home_ref = home, setup.ref
+        home.transits[setup.ref] = taken
+        self._arrived(taken, setup.left, False, -1, now)
+
+    def transit_over(self, office: str, ref: int, now: int) -> None:
+        """The own office ends a dialogue in transit: cancelled or released from upstream."""
+        taken = self.offices[office].transits.get(ref)
+        if taken is None:
+            self.counts["strays.transit_over"] += 1
+        else:
+            self._left(taken, now)
+        self.outlet.to_office(office, frames.Released(ref))
+
+    def load_told(self, office: str, frame: frames.LoadReport, now: int) -> None:
+        """A processor told its figures."""
+        end = self.offices[office]
+        if end.probed:
+            end.probed.cancel()
+            end.probed = None
+        self._feed(ev.Reported(office, frame.asked, True, self._report(end.number, frame.load)), now)
+
+    def _heard_load(self, office: str, load: frames.Load | None, now: int) -> None:
+        if load is not None:
+            report = self._report(self.offices[office].number, load)
+            self._feed(ev.Reported(office, False, True, report), now)
+
+    def _probe(self, office: str, now: int) -> None:
+        end = self.offices.get(office)
+        if end is None or end.probed:
+            return
+
+        def unanswered(at: int) -> None:
+            if end.probed:
+                end.probed = None
+                self._feed(ev.Reported(office, True, False, ev.Report()), at)
+
+        self.outlet.to_office(office, frames.Probe())
+        end.probed = self.outlet.timer(PROBE_TIMEOUT, unanswered)
+
+    # ---- groups ----
+
+    def group_told(self, office: str, frame: frames.GroupState, now: int) -> None:
+        """The own office tells what comes in over a group, and the group's size."""
+        if self.offices[office].number != self.number or not 0 <= frame.number < 1 << 16:
+            self.counts["strays.GroupState"] += 1
+            return
+        group = self.groups.get(frame.number)
+        if group is None:
+            if frame.size < 0:
+                return
+            group = self.groups[frame.number] = Group(frame.size)
+        if frame.size >= 0:
+            group.size = frame.size
+        group.theirs_count = max(0, frame.held)
+        self._changed(frame.number)
+
+    def _free(self, dial: DialOut) -> None:
+        group = self.groups.get(dial.office.number)
+        if group and group.free_up(dial):
+            self._changed(dial.office.number)
+
+    def _changed(self, number: int) -> None:
+        self._untold.add(number)
+        if self._tell_timer is None:
+            self._tell_timer = self.outlet.timer(TELL_EVERY, self._tell_groups)
+
+    def _tell_groups(self, now: int) -> None:
+        self._tell_timer = None
+        numbers, self._untold = sorted(self._untold), set()
+        own = [end for end in self.offices.values() if end.number == self.number and end.up]
+        for number in numbers:
+            group = self.groups[number]
+            for home in own:
+                self.outlet.to_office(home.id, frames.GroupState(number, group.ours_count))
+            for end in self.offices.values():
+                if end.number == number and end.standing is not ev.Standing.GONE:
+                    self._feed(ev.Reported(end.id, False, True, self._report(number, None)), now)
+
+    def _report(self, number: int, load: frames.Load | None) -> ev.Report:
+        group = self.groups.get(number)
+        utilisation, wait, takes, hold_back = load_of(load)
+        return ev.Report(
+            free=group.free if group else None,
+            size=group.size if group else None,
+            utilisation=utilisation,
+            wait=wait,
+            takes_per_s=takes,
+            hold_back=hold_back,
+        )
+
+    def held_for(self, office: str) -> int:
+        """Circuits held for dials of the office's link, as its heartbeat tells."""
+        end = self.offices.get(office)
+        return sum(dial.taken.width for dial in end.dials.values()) if end else 0
+
+    def counts_compared(self, office: str, theirs: int, now: int) -> None:
+        """The office told how many circuits it holds for our dials: both ends must agree, frames on the way
+        apart."""
+        end = self.offices[office]
+        allowed = 2 * self.opened.release.release_wait + 2_000_000  # two heartbeats
+        end.differs_since, say = disagreement(self.held_for(office), theirs, end.differs_since, now, allowed)
+        if say:
+            self.counts["circuits_disagree"] += 1
+            mine = self.held_for(office)
+            self.outlet.log("circuits_disagree", office=office, mine=mine, theirs=theirs)
+
+    # ---- links and the list ----
+
+    def office_up(self, office: str, boot: int, now: int) -> None:
+        """The link to an office stands."""
+        end = self.offices.get(office)
+        if end is None:
+            return
+        end.up, end.boot, end.differs_since = True, boot, None
+        if end.number == self.number:
+            self._untold.update(number for number in self.groups if number != self.number)
+            if self._untold and self._tell_timer is None:
+                self._tell_timer = self.outlet.timer(TELL_EVERY, self._tell_groups)
+
+    def office_down(self, office: str, why: str, now: int) -> None:
+        """The link to an office is lost, and all its dials with it; what passes the own processor too."""
+        end = self.offices.get(office)
+        if end is None or not end.up:
+            return
+        end.up = False
+        self.counts["links_lost.office"] += 1
+        if end.standing is ev.Standing.READY and not self.stopping:
+            self.outlet.log("office_lost", office=office, why=why, dials=len(end.dials))
+        for dial in list(end.dials.values()):
+            self._reset_dial(dial, now)
+        if end.number != self.number:
+            return
+        for other in self.offices.values():
+            for dial in [dial for dial in other.dials.values() if dial.home is end]:
+                # A processor that died takes what passed it along; the far end is told.
+                self.outlet.to_office(other.id, frames.Cancel(dial.ref))
+                self._reset_dial(dial, now)
+        for dial in list(end.passing.values()):
+            self._reset_dial(dial, now)
+        for taken in list(end.transits.values()):
+            self._left(taken, now)
+
+    def listed(self, frame: frames.List, now: int) -> None:
+        """The register told the list, or changes to it. A revision that goes back is an old list: skipped."""
+        if frame.revision < self.revision:
+            self.counts["lists_skipped"] += 1
+            self.outlet.log("list_skipped", revision=frame.revision, have=self.revision)
+            return
+        bad = [line for line in frame.lines if line.standing not in STANDINGS or line.number < 0]
+        if bad or frame.kind not in ("changes", "whole", "remembered"):
+            self.counts["lists_malformed"] += 1
+            self.outlet.log("list_malformed", revision=frame.revision, line=repr(bad[:1]))
+            return
+        self.revision = frame.revision
+        named = set()
+        for line in frame.lines:
+            named.add(line.office)
+            self._listed_line(line, now)
+        if frame.kind != "changes":
+            for end in self.offices.values():
+                if end.id not in named:
+                    end.standing = ev.Standing.GONE
+        heard = {"changes": ev.Heard.CHANGES, "whole": ev.Heard.WHOLE, "remembered": ev.Heard.REMEMBERED}
+        entries = [self.offices[line.office] for line in frame.lines]
+        lines = tuple(ev.Entry(end.id, end.number, end.standing, end.started) for end in entries)
+        self._feed(ev.Listed(heard[frame.kind], lines), now)
+        for end in list(self.offices.values()):
+            self._follow_standing(end, now)
+
+    def _listed_line(self, line: frames.ListLine, now: int) -> None:
+        standing = STANDINGS[line.standing]
+        started = None if line.age is None else now - line.age
+        end = self.offices.get(line.office)
+        if end is None:
+            self.offices[line.office] = OfficeEnd(line.office, line.number, line.address, standing, started)
+            return
+        same = started is not None and end.started is not None and abs(started - end.started) < STARTED_SLACK
+        if not same:
+            end.started = started
+        end.standing, end.number = standing, line.number
+        if end.address != line.address:
+            self.outlet.drop_link(end.id)
+            end.address = line.address
+
+    def _follow_standing(self, end: OfficeEnd, now: int) -> None:
+        if end.standing is ev.Standing.GONE:
+            self._take_back(end, now)
+            self.outlet.drop_link(end.id)
+        else:
+            self.outlet.keep_link(end.id, end.address)
+            if end.standing is ev.Standing.DRAINING:
+                self._take_back(end, now)
+
+    def _take_back(self, end: OfficeEnd, now: int) -> None:
+        """Guards rule 3: set-ups that wait here for an office that drains are taken back, and where it has
+        stopped reading, so that more of them may lie on the way, its link is reset."""
+        back = self.outlet.withdraw(end.id, lambda frame: isinstance(frame, frames.Setup))
+        for frame in back:
+            dial = end.dials.pop(getattr(frame, "ref", 0), None)
+            if dial and dial.step is Step.OUT:
+                self.counts["kept_back.drained"] += 1
+                self._stop_timer(dial)
+                self._not_sent(dial, ev.Ending.NOT_SENT, ev.Blame.NONE, now)
+        if self.outlet.stuck(end.id):
+            self.outlet.reset(end.id, "drains and reads nothing")
+
+    # ---- others ----
+
+    def advised(self, frame: frames.Advice) -> None:
+        """The centre told its latest look."""
+        self.advice = list(frame.tandems)
+
+    def word(self, peer: int, text: bytes, now: int) -> None:
+        """Another call server said something; its work at the own processor is booked there."""
+        home = self._home()
+        if home:
+            self.outlet.to_office(home.id, frames.Pass(0, "word"))
+        self._feed(ev.PeerSaid(peer, text), now)
+
+    def stop(self, now: int) -> int:
+        """Take nothing more; returns how many answers are still owed."""
+        self.stopping = True
+        return self.owed
+
+    @property
+    def owed(self) -> int:
+        """Dialogues taken that still wait for their answer."""
+        return sum(taken.owed for taken in self.taken.values())
--- /dev/null
+++ b/wellhitch/settings/checked.py
@@ -0,0 +1,69 @@
+"""Plain values -> typed records, listing every fault with its field, its value and what is allowed. Pure."""
+
+import types
+import typing
+from typing import Any, TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+
+
+class Faults(Exception):
+    """What is wrong with settings, one line each."""
+
+    def __init__(self, where: str, lines: list[str]) -> None:
+        super().__init__("\n".join(f"{where}: {line}" for line in lines))
+        self.lines = lines
+
+
+def shown(value: Any) -> str:
+    """A value for a message: short, whatever it is."""
+    text = repr(value)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def faults_of(value: Any, wanted: Any, path: str) -> list[str]:
+    """Every fault of a value beside a type: records and lists are gone through, the rest is msgspec's."""
+    origin, args = typing.get_origin(wanted), typing.get_args(wanted)
+    if origin in (typing.Union, types.UnionType) and type(None) in args and len(args) == 2:
+        inner = args[0] if args[1] is type(None) else args[1]
+        return [] if value is None else faults_of(value, inner, path)
+    if isinstance(wanted, type) and issubclass(wanted, msgspec.Struct):
+        if not isinstance(value, dict):
+            return [f"{path or 'the file'} = {shown(value)}: not an object"]
+        return _record_faults(value, wanted, path)
+    if origin in (list, tuple) and args and not (origin is tuple and args[-1] is not Ellipsis):
+        if not isinstance(value, list):
+            return [f"{path} = {shown(value)}: not a list"]
+        return [line for at, one in enumerate(value) for line in faults_of(one, args[0], f"{path}[{at}]")]
+    try:
+        msgspec.convert(value, wanted, strict=True)
+    except msgspec.ValidationError as fault:
+        return [f"{path} = {shown(value)}: {fault}"]
+    return []
+
+
+def _record_faults(value: dict[str, Any], wanted: type[msgspec.Struct], path: str) -> list[str]:
+    hints = typing.get_type_hints(wanted, include_extras=True)
+    known = {one.name: one for one in msgspec.structs.fields(wanted)}
+    prefix = f"{path}." if path else ""
+    lines = [
+        f"{prefix}{name} = {shown(one)}: no such field; known are {', '.join(known)}"
+        for name, one in value.items()
+        if name not in known
+    ]
+    for name, one in known.items():
+        if name in value:
+            lines += faults_of(value[name], hints[name], prefix + name)
+        elif one.required:
+            lines.append(f"{prefix}{name}: missing")
+    return lines
+
+
+def read(value: Any, wanted: type[T], where: str) -> T:
+    """The typed record. Raises Faults with all that is wrong."""
+    lines = faults_of(value, wanted, "")
+    if lines:
+        raise Faults(where, lines)
+    return msgspec.convert(value, wanted)
--- /dev/null
+++ b/wellhitch/settings/day.py
@@ -0,0 +1,160 @@
+"""A day as a file: the fleet, its traffic, its callers and what goes wrong. One seed gives one day."""
+
+from typing import Annotated
+
+import msgspec
+
+from wellhitch.settings.checked import Faults
+from wellhitch.settings.sheet import Count, LimitLine, RuleLine, Share, Span, UseCaseLine, span
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class CaseLine(UseCaseLine, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A use case with its share of the traffic."""
+
+    share: Positive
+
+
+class ExchangeLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One exchange: where it stands, how long a set-up takes there, and how often its callers call each other
+    exchange, a second, by number."""
+
+    number: Annotated[int, msgspec.Meta(ge=0, lt=65536)]
+    setup: Span
+    calls: dict[str, Annotated[float, msgspec.Meta(ge=0)]]
+    zone: str = ""
+
+
+class GroupLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One trunk group."""
+
+    ends: Annotated[list[int], msgspec.Meta(min_length=2, max_length=2)]
+    size: Count
+
+
+class NetLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One-way times: within an exchange, within a zone, between zones; jitter as a share on top."""
+
+    here: Span = "50us"
+    same: Span = "1ms"
+    cross: Span = "5ms"
+    jitter: Share = 0.0
+
+
+class CallerLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How callers behave."""
+
+    retries: Count = 2
+    patience: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.35
+    pause: Span = "1s"
+    doubles: bool = False
+    heeds: Share = 0.8
+
+
+class OfficeLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What all processors have in common; work is in set-ups."""
+
+    queue: Span = "2s"
+    look: Annotated[float, msgspec.Meta(ge=0)] = 0.2
+    reject: Annotated[float, msgspec.Meta(ge=0)] = 0.2
+    follow: Annotated[float, msgspec.Meta(ge=0)] = 0.35
+    word: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    cold_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.4
+    cold_for: Span = "12s"
+    finish_first: bool = False
+    cancel_drops: bool = False
+    tells_wait: bool = False
+    reports: Annotated[str, msgspec.Meta(pattern="^(none|(wait|utilisation|takes|hold_back)(,|$))")] = "none"
+    error_rate: Share = 0.0
+    lines: Annotated[int, msgspec.Meta(ge=1)] = 8
+
+
+class RegisterLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How late the register tells: of drains and starts, of deaths; spread over the call servers."""
+
+    notice: Span = "1s"
+    silent_notice: Span = "5s"
+    add: Span = "1s"
+    spread: Span = "100ms"
+
+
+class CentreLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How often the centre looks, and how old its advice is when told."""
+
+    period: Span = "2s"
+    late: Span = "500ms"
+
+
+KINDS = (
+    "slow", "hang", "answer_lost", "burst", "hot_caller", "give_up", "deploy", "neighbour", "shared_slow",
+    "origin_slow", "report_late", "balancer_crash", "ageing", "mass_restart", "errors", "crash",
+    "link_cut", "half_open", "reads_nothing", "trickle", "mid_frame_reset", "garbage", "answer_twice",
+    "answer_after_release", "list_goes_back", "register_restart", "server_paused", "server_killed",
+)  # fmt: skip
+"""Every kind of trouble that a day may hold; docs/operate/call-server.md tells each."""
+
+
+class TroubleLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One trouble: when, how long, at which exchanges (none: all), how much; `extra` is the kind's own."""
+
+    kind: str
+    at: Span
+    length: Span = "0s"
+    on: list[int] = []
+    size: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    extra: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """All of one day."""
+
+    name: str
+    seed: Count
+    length: Span
+    tail: Span = "20s"
+    use_cases: list[CaseLine]
+    rules: RuleLine
+    exchanges: list[ExchangeLine]
+    groups: list[GroupLine]
+    limits: LimitLine = LimitLine()
+    net: NetLine = NetLine()
+    callers: CallerLine = CallerLine()
+    offices: OfficeLine = OfficeLine()
+    register: RegisterLine = RegisterLine()
+    centre: CentreLine | None = None
+    troubles: list[TroubleLine] = []
+
+
+def check(day: Day, where: str) -> None:
+    """What holds between fields. Raises Faults."""
+    lines = []
+    numbers = [one.number for one in day.exchanges]
+    known = set(numbers)
+    if not numbers:
+        lines.append("exchanges = []: one at least")
+    if not day.use_cases:
+        lines.append("use_cases = []: one at least")
+    lines += [f"exchanges: number {n} stands twice" for n in sorted(known) if numbers.count(n) > 1]
+    for at, one in enumerate(day.exchanges):
+        if span(one.setup) <= 0:
+            lines.append(f"exchanges[{at}].setup = {one.setup!r}: over 0")
+        lines += [
+            f"exchanges[{at}].calls.{to} = {rate}: no such exchange"
+            for to, rate in one.calls.items()
+            if not to.isdigit() or int(to) not in known
+        ]
+    pairs = set()
+    for at, group in enumerate(day.groups):
+        a, b = sorted(group.ends)
+        if a == b or a not in known or b not in known:
+            lines.append(f"groups[{at}].ends = {group.ends}: two exchanges of the day")
+        elif (a, b) in pairs:
+            lines.append(f"groups[{at}].ends = {group.ends}: this pair stands twice")
+        pairs.add((a, b))
+    for at, trouble in enumerate(day.troubles):
+        if trouble.kind not in KINDS:
+            lines.append(f"troubles[{at}].kind = {trouble.kind!r}: one of {', '.join(KINDS)}")
+        lines += [f"troubles[{at}].on = {n}: no such exchange" for n in trouble.on if n not in known]
+    if lines:
+        raise Faults(where, lines)
--- /dev/null
+++ b/wellhitch/settings/sheet.py
@@ -0,0 +1,151 @@
+"""The sheet of one call server: what `wellhitch serve` reads. Times are whole microseconds once read."""
+
+import re
+from typing import Annotated
+
+import msgspec
+
+from wellhitch.interface import events, facts
+from wellhitch.net.seam import split
+from wellhitch.settings.checked import Faults
+
+Span = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+)?(us|ms|s)$", description="such as 250ms or 1.5s")
+]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^$|^.+:[0-9]+$")]
+
+_UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000}
+
+
+def span(text: str) -> int:
+    """Whole microseconds of a span such as `1.5s`. Raises ValueError."""
+    match = re.fullmatch(r"([0-9]+(?:\.[0-9]+)?)(us|ms|s)", text)
+    if not match:
+        raise ValueError(f"{text!r} is no span of time, such as 250ms or 1.5s")
+    return round(float(match[1]) * _UNITS[match[2]])
+
+
+class UseCaseLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One use case, as `interface.facts.UseCase` words it."""
+
+    name: str
+    payoff: Annotated[float, msgspec.Meta(ge=0)]
+    agreed_time: Span
+    outer_limit: Span
+    late_share: Share = 0.0
+    width: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
+    hold: Span = "10s"
+    repeatable: bool = True
+    repeat_within: Span = "0s"
+
+
+class LimitLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What this deployment lets a call server do."""
+
+    most_dials: Annotated[int, msgspec.Meta(ge=1)] = 5
+    may_cancel: bool = True
+    may_probe: bool = False
+    may_tell_peers: bool = False
+    longest_retry_after: Span = "0s"
+    marks_redials: bool = False
+    max_open: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 20_000
+
+
+class RuleLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The figures of the five rules."""
+
+    release_wait: Span
+    drain_grace: Span
+    cold_share: Annotated[float, msgspec.Meta(gt=0, le=1)]
+    cold_for: Span
+    cold_multiple: Annotated[float, msgspec.Meta(gt=0)]
+    cold_window: Span
+
+
+class DoorLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where to listen and whom to follow, host:port on loopback; port 0 takes a free one."""
+
+    callers: Address
+    register: Address
+    peers: Address = ""
+    operators: Address = ""
+    centre: Address = ""
+
+
+class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All of one call server."""
+
+    number: Annotated[int, msgspec.Meta(ge=0, lt=65536)]
+    seed: Count
+    peers: Count
+    use_cases: list[UseCaseLine]
+    rules: RuleLine
+    doors: DoorLine
+    limits: LimitLine = LimitLine()
+
+
+def check(sheet: Sheet, where: str) -> None:
+    """What holds between fields. Raises Faults."""
+    lines = []
+    if not sheet.use_cases:
+        lines.append("use_cases = []: one at least")
+    names = [use.name for use in sheet.use_cases]
+    lines += [f"use_cases = {name!r}: named twice" for name in sorted(set(names)) if names.count(name) > 1]
+    for at, use in enumerate(sheet.use_cases):
+        if span(use.agreed_time) > span(use.outer_limit):
+            lines.append(
+                f"use_cases[{at}].agreed_time = {use.agreed_time!r}: over the outer limit {use.outer_limit!r}"
+            )
+    for name in ("callers", "register", "peers", "operators", "centre"):
+        address = getattr(sheet.doors, name)
+        if not address:
+            if name in ("callers", "register"):
+                lines.append(f"doors.{name} = '': an address, host:port")
+            continue
+        try:
+            host, _ = split(address)
+        except ValueError as fault:
+            lines.append(f"doors.{name} = {address!r}: {fault}")
+            continue
+        if not (host in ("localhost", "::1") or host.startswith("127.")):
+            lines.append(f"doors.{name} = {address!r}: a loopback address, such as 127.0.0.1:7000")
+    if lines:
+        raise Faults(where, lines)
+
+
+def opened(sheet: Sheet) -> events.Opened:
+    """The start facts that the decisions are told."""
+    limits, rules = sheet.limits, sheet.rules
+    return events.Opened(
+        seed=sheet.seed,
+        use_cases=tuple(
+            facts.UseCase(
+                name=use.name,
+                payoff=use.payoff,
+                late_share=use.late_share,
+                agreed_time=span(use.agreed_time),
+                outer_limit=span(use.outer_limit),
+                width=use.width,
+                hold=span(use.hold),
+                pools=(),
+                repeatable=use.repeatable,
+                repeat_within=span(use.repeat_within),
+            )
+            for use in sheet.use_cases
+        ),
+        place=facts.Place(sheet.number, sheet.peers, False, 0, bool(sheet.doors.centre)),
+        permissions=facts.Permissions(
+            limits.most_dials,
+            limits.may_cancel,
+            limits.may_probe,
+            limits.may_tell_peers,
+            span(limits.longest_retry_after),
+            limits.marks_redials,
+        ),
+        release=facts.ReleaseRule(span(rules.release_wait), span(rules.drain_grace)),
+        cold=facts.ColdRule(
+            rules.cold_share, span(rules.cold_for), rules.cold_multiple, span(rules.cold_window)
+        ),
+    )
--- /dev/null
+++ b/wellhitch/stand_ins/callers.py
@@ -0,0 +1,255 @@
+"""Stand-in callers of one exchange: they call, wait for a share of the outer limit, hang up when they have
+talked, and try again when they were not served."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from wellhitch.interface.facts import UseCase
+from wellhitch.net.seam import Network, now_us
+from wellhitch.trunk import frames
+from wellhitch.trunk.capture import Recorder
+from wellhitch.trunk.port import KeptLink, Port
+
+
+@dataclass(slots=True)
+class Habits:
+    """How callers behave. `patience`: share of the outer limit that one try is waited for. `pause`: us before
+    the next try, doubling where `doubles`; `heeds`: share of callers that heed a named come-back time."""
+
+    retries: int = 2
+    patience: float = 0.35
+    pause: int = 1_000_000
+    doubles: bool = False
+    heeds: float = 0.8
+    marks_redials: bool = False
+    short_share: float = 0.0  # trouble: so many callers ...
+    short_to: float = 1.0  # ... wait for this share of their usual patience
+
+
+@dataclass(slots=True)
+class Demand:
+    """Who is called how often: dialogues a second to each destination, shares of use cases, and what troubles
+    multiply it with. `hot`: a number of `hot_at` that gets `hot_share` of all."""
+
+    to: dict[int, float]
+    use_cases: list[tuple[UseCase, float]]
+    times: float = 1.0
+    hot_share: float = 0.0
+    hot_at: int = -1
+    hot_number: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Case:
+    """One caller's wish, over all its tries."""
+
+    number: int
+    use_case: UseCase
+    destination: int
+    called: str
+    began: int
+    tries: int = 0
+    heeds: bool = False
+    id: int = 0
+    timer: asyncio.TimerHandle | None = None
+    stood: bool = False
+
+
+class Callers:
+    """All callers of one exchange, on one link to their call server."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        network: Network,
+        number: int,
+        address: str,
+        recorder: Recorder,
+        chance: random.Random,
+        demand: Demand,
+        habits: Habits,
+        boot: int,
+    ) -> None:
+        self.loop, self.number, self.recorder, self.chance = loop, number, recorder, chance
+        self.demand, self.habits = demand, habits
+        self.counts: Counter[str] = Counter()
+        self.cases: dict[int, Case] = {}
+        self.waiting: dict[Case, None] = {}
+        self.calling = False
+        self._next_id = 0
+        self._next_case = 0
+        hello = frames.Hello("caller", number, boot)
+        self.link = KeptLink(loop, network, address, self, hello, ("call_server",), chance, recorder.tap)
+
+    def now(self) -> int:
+        """Time in us."""
+        return now_us(self.loop)
+
+    def start(self) -> None:
+        """Begin to call."""
+        self.calling = True
+        self._schedule()
+
+    def finish(self) -> None:
+        """No new dialogues; those that run go on."""
+        self.calling = False
+
+    def _schedule(self) -> None:
+        rate = sum(self.demand.to.values()) * self.demand.times
+        wait = self.chance.expovariate(rate) if rate > 0 else 0.2
+        # Looked at again after a fifth of a second at most, so that a change of rate is followed.
+        if wait > 0.2 or rate <= 0:
+            self.loop.call_later(0.2, self._again)
+        else:
+            self.loop.call_later(wait, self._arrive)
+
+    def _again(self) -> None:
+        if self.calling:
+            self._schedule()
+
+    def _arrive(self) -> None:
+        if not self.calling:
+            return
+        demand, chance = self.demand, self.chance
+        places = list(demand.to)
+        destination = chance.choices(places, [demand.to[place] for place in places])[0]
+        use = chance.choices([u for u, _ in demand.use_cases], [share for _, share in demand.use_cases])[0]
+        called = f"{chance.getrandbits(40):010x}"
+        if demand.hot_share and chance.random() < demand.hot_share and demand.hot_at != self.number:
+            destination, called = demand.hot_at, demand.hot_number
+        self.call(use, destination, called)
+        self._schedule()
+
+    def call(self, use: UseCase, destination: int, called: str) -> Case:
+        """One caller begins to try."""
+        self._next_case += 1
+        case = Case(self._next_case, use, destination, called, self.now())
+        case.heeds = self.chance.random() < self.habits.heeds
+        self.counts["cases"] += 1
+        self._try(case)
+        return case
+
+    def _try(self, case: Case) -> None:
+        case.timer = None
+        self.waiting.pop(case, None)
+        self._next_id += 1
+        case.id = self._next_id
+        case.tries += 1
+        use = case.use_case
+        patience = self.habits.patience
+        if self.habits.short_share and self.chance.random() < self.habits.short_share:
+            patience *= self.habits.short_to
+        # The outer limit runs from the first try.
+        left = min(int(use.outer_limit * patience), case.began + use.outer_limit - self.now())
+        if left <= 0:
+            self._done(case, "out_of_time")
+            return
+        port = self.link.port
+        call = frames.Call(
+            case.id,
+            use.name,
+            case.destination,
+            case.called,
+            left,
+            use.width,
+            self.habits.marks_redials and case.tries > 1,
+        )
+        self.recorder.note("try", id=case.id, case=case.number, use_case=use.name, began=case.began)
+        if port is None or port.link.peer is None or not port.send(call):
+            self._unserved(case, 0)
+            return
+        self.cases[case.id] = case
+        case.timer = self.loop.call_later(left / 1e6, self._impatient, case)
+
+    def _impatient(self, case: Case) -> None:
+        self.counts["gave_up"] += 1
+        self._leave(case)
+        self._unserved(case, 0)
+
+    def _leave(self, case: Case) -> None:
+        if self.cases.pop(case.id, None) and self.link.port:
+            self.link.port.send(frames.Leave(case.id))
+
+    def _unserved(self, case: Case, come_back: int) -> None:
+        """Try again, or not."""
+        if case.timer:
+            case.timer.cancel()
+        self.cases.pop(case.id, None)
+        if case.tries > self.habits.retries:
+            self._done(case, "unserved")
+            return
+        pause = self.habits.pause * (2 ** (case.tries - 1) if self.habits.doubles else 1)
+        pause = int(pause * (0.5 + self.chance.random()))
+        if come_back and case.heeds:
+            pause = come_back
+        self.waiting[case] = None
+        case.timer = self.loop.call_later(pause / 1e6, self._try, case)
+
+    def _done(self, case: Case, how: str) -> None:
+        self.counts[how] += 1
+        self.cases.pop(case.id, None)
+
+    def hang_up(self) -> None:
+        """Whoever still talks hangs up; whoever waits to try again does not."""
+        for case in [case for case in self.cases.values() if case.stood]:
+            if case.timer:
+                case.timer.cancel()
+            self._hang_up(case)
+        for case in list(self.waiting):
+            if case.timer:
+                case.timer.cancel()
+            self.waiting.pop(case)
+            self._done(case, "unserved")
+
+    @property
+    def open(self) -> int:
+        """Cases that are not over."""
+        return len(self.cases) + len(self.waiting)
+
+    # -- Owner --
+
+    def link_up(self, port: Port) -> None:
+        """The call server answers."""
+
+    def link_held(self, port: Port) -> int:
+        """Callers hold no circuits."""
+        return 0
+
+    def link_down(self, port: Port, why: str) -> None:
+        """The call server is gone: whoever waited tries again, whoever talked was cut."""
+        self.recorder.down(port)
+        for case in list(self.cases.values()):
+            if case.stood:
+                if case.timer:
+                    case.timer.cancel()
+                self._done(case, "cut")
+            else:
+                self._unserved(case, 0)
+
+    def link_frame(self, port: Port, frame: frames.Any) -> None:
+        """The call server says something."""
+        if not isinstance(frame, (frames.Final, frames.Ended)):
+            return
+        case = self.cases.get(frame.id)
+        if case is None:
+            self.counts["strays"] += 1
+        elif isinstance(frame, frames.Ended):
+            if case.timer:
+                case.timer.cancel()
+            self._done(case, "cut")
+        elif frame.answer == "stands":
+            if case.timer:
+                case.timer.cancel()
+            case.stood = True
+            self.counts["stood"] += 1
+            hold = self.chance.expovariate(1 / max(1, case.use_case.hold))
+            case.timer = self.loop.call_later(hold / 1e6, self._hang_up, case)
+        else:
+            self.counts[frame.answer] += 1
+            self._unserved(case, frame.come_back)
+
+    def _hang_up(self, case: Case) -> None:
+        self._leave(case)
+        self._done(case, "talked")
--- /dev/null
+++ b/wellhitch/stand_ins/town.py
@@ -0,0 +1,284 @@
+"""All stand-ins of one day on a loop: offices, callers, register, centre, with their captures. The call servers
+between them are somebody else's: `Servers` tells how to stop and start them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, BinaryIO, Protocol
+
+from wellhitch.interface.facts import UseCase
+from wellhitch.net.seam import Network, now_us
+from wellhitch.settings.day import Day, ExchangeLine
+from wellhitch.settings.sheet import span
+from wellhitch.stand_ins.callers import Callers, Demand, Habits
+from wellhitch.stand_ins.office import Office, Trunks
+from wellhitch.stand_ins.processor import ColdStart, Work
+from wellhitch.stand_ins.register import Centre, Register
+from wellhitch.trunk.capture import Recorder
+from wellhitch.trunk.circuits import Group
+
+
+class Servers(Protocol):
+    """The call servers of a day, by exchange."""
+
+    def start(self, number: int) -> None:
+        """Start one, or start it again."""
+
+    def kill(self, number: int) -> None:
+        """End one outright."""
+
+    def pause(self, number: int) -> None:
+        """Stop one where it is."""
+
+    def resume(self, number: int) -> None:
+        """Let it go on."""
+
+
+class Addresses(Protocol):
+    """Where everybody is reached."""
+
+    def of(self, host: str, door: str) -> str:
+        """host:port of a door of a host; the same each time."""
+
+
+class Wire(Protocol):
+    """What can be done to the links of a day, where the network allows it."""
+
+    def cut(self, server: int, office: str) -> int:
+        """Reset the links between a call server and an office."""
+
+    def spoil(self, server: int, office: str, what: str, on: bool) -> None:
+        """`silent`, `trickle` or `broken`, on or off."""
+
+
+@dataclass
+class Town:
+    """The stand-ins of a day. `network(host)` is each host's own view."""
+
+    loop: asyncio.AbstractEventLoop
+    day: Day
+    network: Callable[[str], Network]
+    addresses: Addresses
+    servers: Servers
+    wire: Wire | None = None
+    folder: Path | None = None
+    recorders: dict[str, Recorder] = field(default_factory=dict)
+    offices: dict[int, Office] = field(default_factory=dict)
+    past: list[Office] = field(default_factory=list)
+    callers: dict[int, Callers] = field(default_factory=dict)
+    trunks: dict[int, Trunks] = field(default_factory=dict)
+    generation: dict[int, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        day = self.day
+        self.started_at = self.now()
+        self.world = self.recorder(
+            "world",
+            "world",
+            drain_grace=span(day.rules.drain_grace),
+            release_wait=span(day.rules.release_wait),
+            cold_multiple=day.rules.cold_multiple,
+            cold_window=span(day.rules.cold_window),
+            way=self.longest_way(),
+            day=day.name,
+            seed=day.seed,
+            use_cases=[
+                {
+                    "name": u.name,
+                    "payoff": u.payoff,
+                    "agreed_time": span(u.agreed_time),
+                    "late_share": u.late_share,
+                }
+                for u in day.use_cases
+            ],
+        )
+        self.lines = {one.number: one for one in day.exchanges}
+        self.zones = {one.number: one.zone for one in day.exchanges}
+        for one in day.exchanges:
+            self.trunks[one.number] = Trunks(one.number, {}, day.offices.lines)
+        for group in day.groups:
+            a, b = group.ends
+            self.trunks[a].groups[b] = Group(group.size)
+            self.trunks[b].groups[a] = Group(group.size)
+        late = day.register
+        waits = {"ready": span(late.add), "draining": span(late.notice), "gone": span(late.silent_notice)}
+        self.register = Register(
+            loop=self.loop,
+            network=self.network("register"),
+            address=self.addresses.of("register", "list"),
+            recorder=self.recorder("register", "register"),
+            chance=self.chance("register"),
+            late=lambda standing: waits[standing],
+            spread=span(late.spread),
+            boot=1,
+        )
+        for one in day.exchanges:
+            self.new_office(one.number, None)
+        self.centre: Centre | None = None
+        if day.centre is not None:
+            self.centre = Centre(
+                self.loop,
+                self.network("centre"),
+                self.addresses.of("centre", "advice"),
+                self.recorder("centre", "centre"),
+                self.free,
+                sorted(self.trunks),
+                span(day.centre.period),
+                span(day.centre.late),
+                1,
+            )
+
+    def longest_way(self) -> int:
+        """One way at the longest, us. On real sockets the figures of the day's net do not act, and a way is
+        what a busy loop takes; the runner states it there."""
+        net = self.day.net
+        return int(max(span(net.same), span(net.cross), span(net.here)) * (1 + net.jitter)) + 1
+
+    def now(self) -> int:
+        """Time in us."""
+        return now_us(self.loop)
+
+    def chance(self, what: str) -> random.Random:
+        """A generator of its own for each part, all from the day's seed."""
+        return random.Random(f"{self.day.seed} {what}")
+
+    def recorder(self, party: str, name: str, **facts: Any) -> Recorder:
+        """A capture of one party."""
+        file: BinaryIO | None = None
+        if self.folder is not None:
+            file = (self.folder / f"{name}.capture").open("wb", buffering=1 << 20)
+        made = self.recorders[name] = Recorder(self.now, party, name, file, **facts)
+        return made
+
+    def host_of(self, number: int) -> str:
+        """The host of an exchange's present office."""
+        return self.offices[number].name
+
+    def new_office(self, number: int, started: int | None) -> Office:
+        """An office starts, the first or in place of another; the register hears of it at once."""
+        day, line = self.day, self.lines[number]
+        again = self.generation[number] = self.generation.get(number, -1) + 1
+        name = f"office-{number}" if not again else f"office-{number}.{again}"
+        cold = ColdStart(
+            day.offices.cold_share,
+            span(day.offices.cold_for),
+            day.rules.cold_multiple,
+            span(day.rules.cold_window),
+        )
+        recorder = self.recorder(
+            "office",
+            name,
+            number=number,
+            started=started,
+            warm_after=cold.warm_after,
+            cold_share=cold.share,
+            setup_us=span(line.setup),
+        )
+        office = Office(
+            self.loop,
+            self.network(name),
+            name,
+            self.trunks[number],
+            recorder,
+            self.chance(name),
+            address=self.addresses.of(name, "trunk"),
+            setup_us=span(line.setup),
+            queue_us=span(day.offices.queue),
+            work=Work(day.offices.look, day.offices.reject, day.offices.follow, day.offices.word),
+            cold=cold,
+            started=started,
+            boot=again + 1,
+            finish_first=day.offices.finish_first,
+            cancel_drops=day.offices.cancel_drops,
+            tells_wait=day.offices.tells_wait,
+            reports=day.offices.reports,
+        )
+        office.ills.error_rate = day.offices.error_rate
+        if number in self.offices:
+            self.past.append(self.offices[number])
+        self.offices[number] = office
+        self.tell(office, "ready")
+        return office
+
+    def tell(self, office: Office, standing: str) -> None:
+        """The register hears of an office."""
+        number = office.trunks.number
+        self.register.change(
+            office.name,
+            number,
+            standing,
+            office.processor.started,
+            office.address,
+            self.addresses.of(f"server-{number}", "peers"),
+        )
+
+    def begin(self) -> None:
+        """Callers begin."""
+        for line in self.day.exchanges:
+            callers = self.callers[line.number] = self._callers(line)
+            callers.start()
+
+    def _callers(self, line: ExchangeLine) -> Callers:
+        day, name = self.day, f"callers-{line.number}"
+        habits = Habits(
+            day.callers.retries,
+            day.callers.patience,
+            span(day.callers.pause),
+            day.callers.doubles,
+            day.callers.heeds,
+            day.limits.marks_redials,
+        )
+        return Callers(
+            self.loop,
+            self.network(name),
+            line.number,
+            self.addresses.of(f"server-{line.number}", "callers"),
+            self.recorder("callers", name, number=line.number),
+            self.chance(name),
+            Demand({int(to): rate for to, rate in line.calls.items() if rate > 0}, self.use_cases()),
+            habits,
+            1,
+        )
+
+    def use_cases(self) -> list[tuple[UseCase, float]]:
+        """Use cases as the callers know them, with their shares."""
+        return [
+            (
+                UseCase(
+                    u.name,
+                    u.payoff,
+                    u.late_share,
+                    span(u.agreed_time),
+                    span(u.outer_limit),
+                    u.width,
+                    span(u.hold),
+                    (),
+                    u.repeatable,
+                    span(u.repeat_within),
+                ),
+                u.share,
+            )
+            for u in self.day.use_cases
+        ]
+
+    def free(self, here: int, there: int) -> int:
+        """Free circuits of a group, for the centre; -1 where there is none."""
+        group = self.trunks[here].groups.get(there)
+        return group.free if group else -1
+
+    def finish(self) -> None:
+        """No more new dialogues."""
+        for callers in self.callers.values():
+            callers.finish()
+
+    @property
+    def open(self) -> int:
+        """Cases that are not over."""
+        return sum(callers.open for callers in self.callers.values())
+
+    def close(self) -> None:
+        """End the captures."""
+        for recorder in self.recorders.values():
+            recorder.close()
--- /dev/null
+++ b/wellhitch/stand_ins/troubles.py
@@ -0,0 +1,409 @@
+"""What goes wrong on a day: each kind as a pair of what begins and what ends it, on the stand-ins alone.
+
+`TABLE` has every kind of `settings.day.KINDS`; a test holds the two together.
+"""
+
+import math
+import random
+from collections.abc import Callable
+
+from wellhitch.settings.day import TroubleLine
+from wellhitch.settings.sheet import span
+from wellhitch.stand_ins.town import Town
+
+Undo = Callable[[], None]
+Begin = Callable[[Town, TroubleLine], Undo | None]
+
+
+class CannotPlay(Exception):
+    """A trouble that this way of playing the day cannot make; the text says why."""
+
+
+def schedule(town: Town) -> None:
+    """Set all troubles of the day, each at its time from now on."""
+    for trouble in town.day.troubles:
+        if trouble.kind in _NEED_WIRE and town.wire is None:
+            raise CannotPlay(f"trouble {trouble.kind!r} needs the emulated network (--virtual)")
+        town.loop.call_later(span(trouble.at) / 1e6, _begin, town, trouble)
+
+
+def _begin(town: Town, trouble: TroubleLine) -> None:
+    town.world.note("trouble", kind=trouble.kind, on=trouble.on, size=trouble.size)
+    undo = TABLE[trouble.kind](town, trouble)
+    if undo is not None:
+        town.loop.call_later(span(trouble.length) / 1e6, _end, town, trouble, undo)
+
+
+def _end(town: Town, trouble: TroubleLine, undo: Undo) -> None:
+    town.world.note("trouble_over", kind=trouble.kind)
+    undo()
+
+
+def _on(town: Town, trouble: TroubleLine) -> list[int]:
+    return trouble.on or sorted(town.offices)
+
+
+def _later(town: Town, seconds: float, work: Callable[..., object], *args: object) -> None:
+    town.loop.call_later(seconds, work, *args)
+
+
+# ---- processors ----
+
+
+def _slower(town: Town, numbers: list[int], times: float) -> Undo:
+    struck = [town.offices[number].processor for number in numbers]
+    for processor in struck:
+        processor.slow *= times
+
+    def undo() -> None:
+        for processor in struck:
+            processor.slow /= times
+
+    return undo
+
+
+def slow(town: Town, t: TroubleLine) -> Undo:
+    """`size` times slower."""
+    return _slower(town, _on(town, t), max(t.size, 0.01))
+
+
+def hang(town: Town, t: TroubleLine) -> Undo:
+    """Work is taken and nothing comes of it."""
+    struck = [town.offices[number].processor for number in _on(town, t)]
+    for processor in struck:
+        processor.hung = True
+
+    def undo() -> None:
+        for processor in struck:
+            processor.resume()
+
+    return undo
+
+
+def neighbour(town: Town, t: TroubleLine) -> Undo:
+    """Other work takes `size` of the processor, on and off every `extra` seconds."""
+    over = [False]
+
+    def on() -> None:
+        if not over[0]:
+            undo = _slower(town, _on(town, t), 1 / max(0.01, 1 - t.size))
+            _later(town, max(0.1, t.extra), off, undo)
+
+    def off(undo: Undo) -> None:
+        undo()
+        _later(town, max(0.1, t.extra), on)
+
+    on()
+    return lambda: over.__setitem__(0, True)
+
+
+def ageing(town: Town, t: TroubleLine) -> Undo:
+    """Slower and slower, up to `size` times; dead at the end, and back `extra` seconds later, cold."""
+    numbers, steps = _on(town, t), 20
+    step = max(1.0, t.size) ** (1 / steps)
+    for at in range(steps):
+        _later(town, span(t.length) / 1e6 * at / steps, _slower, town, numbers, step)
+
+    def undo() -> None:
+        for number in numbers:
+            _crash(town, number, t.extra)
+
+    return undo
+
+
+def _crash(town: Town, number: int, back_after: float) -> None:
+    office = town.offices[number]
+    office.stop("crash")
+    town.tell(office, "gone")
+    _later(town, back_after, lambda: town.new_office(number, town.now()))
+
+
+def crash(town: Town, t: TroubleLine) -> None:
+    """The processor dies and comes back after `length`, cold."""
+    for number in _on(town, t):
+        _crash(town, number, span(t.length) / 1e6)
+
+
+def mass_restart(town: Town, t: TroubleLine) -> None:
+    """Many die at once and are back after `length`, cold, all together."""
+    crash(town, t)
+
+
+def deploy(town: Town, t: TroubleLine) -> None:
+    """New processors take the place of the old, `size` of all at a time; each drains for `extra` seconds."""
+    numbers = _on(town, t)
+    batch = max(1, round(t.size * len(town.offices)))
+    batches = [numbers[at : at + batch] for at in range(0, len(numbers), batch)]
+    for at, lot in enumerate(batches):
+        _later(town, span(t.length) / 1e6 * at / len(batches), _replace, town, lot, t.extra)
+
+
+def _replace(town: Town, numbers: list[int], drain: float) -> None:
+    for number in numbers:
+        old = town.offices[number]
+        if not old.up:
+            continue
+        town.tell(old, "draining")
+        town.new_office(number, town.now())
+        _later(town, drain, _stop_old, town, old)
+
+
+def _stop_old(town: Town, old: object) -> None:
+    for office in [*town.past, *town.offices.values()]:
+        if office is old:
+            office.stop("replaced")
+            town.tell(office, "gone")
+
+
+def errors(town: Town, t: TroubleLine) -> Undo:
+    """`size` of all set-ups fail at once."""
+    return _ill(town, t, "error_rate", t.size, town.day.offices.error_rate)
+
+
+def answer_lost(town: Town, t: TroubleLine) -> Undo:
+    """`size` of the answers do not come."""
+    return _ill(town, t, "lost_answers", t.size, 0.0)
+
+
+def answer_twice(town: Town, t: TroubleLine) -> Undo:
+    """`size` of the answers come twice."""
+    return _ill(town, t, "twice", t.size, 0.0)
+
+
+def answer_after_release(town: Town, t: TroubleLine) -> Undo:
+    """An answer comes once more when the dial is released or cancelled."""
+    return _ill(town, t, "after_release", True, False)
+
+
+def garbage(town: Town, t: TroubleLine) -> Undo:
+    """The next answer of each office is a frame of garbage."""
+    return _ill(town, t, "garbage", True, False)
+
+
+def report_late(town: Town, t: TroubleLine) -> Undo:
+    """Load reports are `size` seconds older."""
+    return _ill(town, t, "reports_late", int(t.size * 1e6), 0)
+
+
+def _ill(town: Town, t: TroubleLine, name: str, during: object, after: object) -> Undo:
+    struck = [town.offices[number].ills for number in _on(town, t)]
+    for ills in struck:
+        setattr(ills, name, during)
+
+    def undo() -> None:
+        for ills in struck:
+            setattr(ills, name, after)
+
+    return undo
+
+
+# ---- callers ----
+
+
+def burst(town: Town, t: TroubleLine) -> Undo:
+    """All callers call `size` times as often."""
+    return _demand(town, _on(town, t), t.size)
+
+
+def _demand(town: Town, numbers: list[int], times: float) -> Undo:
+    struck = [town.callers[number].demand for number in numbers]
+    for demand in struck:
+        demand.times *= times
+
+    def undo() -> None:
+        for demand in struck:
+            demand.times /= times
+
+    return undo
+
+
+def hot_caller(town: Town, t: TroubleLine) -> Undo:
+    """A few exchanges get `size` of all dialogues on top of their own."""
+    numbers = _on(town, t)
+    total = sum(sum(c.demand.to.values()) for c in town.callers.values())
+    mine = sum(sum(town.callers[n].demand.to.values()) for n in numbers) or 1.0
+    return _demand(town, numbers, 1 + t.size * total / mine)
+
+
+def give_up(town: Town, t: TroubleLine) -> Undo:
+    """`size` of the callers wait for but `extra` of their usual patience."""
+    for callers in town.callers.values():
+        callers.habits.short_share, callers.habits.short_to = min(1.0, t.size), t.extra or 0.5
+
+    def undo() -> None:
+        for callers in town.callers.values():
+            callers.habits.short_share = 0.0
+
+    return undo
+
+
+# ---- groups ----
+
+
+def origin_slow(town: Town, t: TroubleLine) -> Undo:
+    """Groups between the zone of the first exchange named and the others keep 1 / root(`size`) of their
+    circuits; calls on the lost ones are cut."""
+    zone = town.zones[_on(town, t)[0]]
+    chance = random.Random(f"{town.day.seed} origin_slow")
+    pairs = [
+        (a, b)
+        for a in sorted(town.trunks)
+        for b in sorted(town.trunks[a].groups)
+        if a < b and (town.zones[a] == zone) != (town.zones[b] == zone)
+    ]
+    sizes = {pair: town.trunks[pair[0]].groups[pair[1]].size for pair in pairs}
+    for pair in pairs:
+        _resize(town, pair, int(sizes[pair] / math.sqrt(max(1.0, t.size))), chance)
+
+    def undo() -> None:
+        for pair in pairs:
+            _resize(town, pair, sizes[pair], chance)
+
+    return undo
+
+
+def _resize(town: Town, pair: tuple[int, int], size: int, chance: random.Random) -> None:
+    a, b = pair
+    ends = [(town.offices[a], b), (town.offices[b], a)]
+    legs = [(office, leg) for office, other in ends for leg in office.legs_from(other)]
+    chance.shuffle(legs)
+    held = sum(leg.setup.width for _, leg in legs)
+    while held > size and legs:
+        office, leg = legs.pop()
+        held -= leg.setup.width
+        office.cut(leg)
+    for office, other in ends:
+        office.resize(other, size)
+
+
+# ---- links, lists, call servers ----
+
+
+def _pairs(town: Town, t: TroubleLine) -> list[tuple[int, str]]:
+    return [
+        (server, town.host_of(number))
+        for number in _on(town, t)
+        for server in sorted(town.offices)
+        if server != number
+    ]
+
+
+def link_cut(town: Town, t: TroubleLine) -> None:
+    """Every link to these offices is reset, `size` times with `extra` seconds between."""
+    assert town.wire is not None
+    for at in range(max(1, int(t.size))):
+        for server, office in _pairs(town, t):
+            _later(town, at * t.extra, town.wire.cut, server, office)
+
+
+def _spoil(what: str) -> Begin:
+    def begin(town: Town, t: TroubleLine) -> Undo:
+        wire = town.wire
+        assert wire is not None
+        pairs = _pairs(town, t)
+        for server, office in pairs:
+            wire.spoil(server, office, what, True)
+
+        def undo() -> None:
+            for server, office in pairs:
+                wire.spoil(server, office, what, False)
+
+        return undo
+
+    return begin
+
+
+def reads_nothing(town: Town, t: TroubleLine) -> Undo:
+    """These offices stop reading."""
+    struck = [town.offices[number] for number in _on(town, t)]
+    for office in struck:
+        office.read(False)
+
+    def undo() -> None:
+        for office in struck:
+            office.read(True)
+
+    return undo
+
+
+def mid_frame_reset(town: Town, t: TroubleLine) -> None:
+    """Each link of these offices ends in the middle of a frame."""
+    for number in _on(town, t):
+        for port in list(town.offices[number].ports):
+            if port.transport is not None:
+                port.transport.write(b"\x01\x00\x00\x40half")
+                port.transport.abort()
+
+
+def list_goes_back(town: Town, t: TroubleLine) -> Undo:
+    """The register tells an old list after each new one."""
+    town.register.goes_back = True
+    return lambda: setattr(town.register, "goes_back", False)
+
+
+def register_restart(town: Town, t: TroubleLine) -> None:
+    """The register restarts with a list `size` revisions old."""
+    town.register.restart(int(t.size))
+
+
+def server_killed(town: Town, t: TroubleLine) -> Undo:
+    """The call servers are ended outright, and started again after `length`."""
+    numbers = _on(town, t)
+    for number in numbers:
+        town.world.note("server_killed", server=number)
+        town.servers.kill(number)
+
+    def undo() -> None:
+        for number in numbers:
+            town.world.note("server_started", server=number)
+            town.servers.start(number)
+
+    return undo
+
+
+def server_paused(town: Town, t: TroubleLine) -> Undo:
+    """The call servers' processes stand still for `length`."""
+    numbers = _on(town, t)
+    for number in numbers:
+        town.world.note("server_paused", server=number)
+        town.servers.pause(number)
+
+    def undo() -> None:
+        for number in numbers:
+            town.servers.resume(number)
+            town.world.note("server_resumed", server=number)
+
+    return undo
+
+
+TABLE: dict[str, Begin] = {
+    "slow": slow,
+    "hang": hang,
+    "answer_lost": answer_lost,
+    "burst": burst,
+    "hot_caller": hot_caller,
+    "give_up": give_up,
+    "deploy": deploy,
+    "neighbour": neighbour,
+    "shared_slow": slow,
+    "origin_slow": origin_slow,
+    "report_late": report_late,
+    "balancer_crash": server_killed,
+    "ageing": ageing,
+    "mass_restart": mass_restart,
+    "errors": errors,
+    "crash": crash,
+    "link_cut": link_cut,
+    "half_open": _spoil("silent"),
+    "reads_nothing": reads_nothing,
+    "trickle": _spoil("trickle"),
+    "mid_frame_reset": mid_frame_reset,
+    "garbage": garbage,
+    "answer_twice": answer_twice,
+    "answer_after_release": answer_after_release,
+    "list_goes_back": list_goes_back,
+    "register_restart": register_restart,
+    "server_paused": server_paused,
+    "server_killed": server_killed,
+}
+_NEED_WIRE = ("link_cut", "half_open", "trickle")
--- /dev/null
+++ b/wellhitch/trunk/codec.py
@@ -0,0 +1,79 @@
+"""Bytes <-> frames, sans-I/O. Any bytes give frames or one `BadFrame`.
+
+A frame on the wire: one byte version, three bytes length (big-endian) of what follows, then msgpack.
+"""
+
+import msgspec
+
+from wellhitch.trunk import frames
+
+VERSION = 1
+HEADER = 4
+MAX_FRAME = 64 * 1024  # a list of 500 offices takes some 40 KB; nothing else comes near
+
+
+class BadFrame(Exception):
+    """The other end broke the protocol; the text names what was wrong, and goes to it in a Fault."""
+
+    def __init__(self, text: str, before: list[frames.Any] | None = None) -> None:
+        super().__init__(text)
+        self.before = before or []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(frames.Any)
+
+
+def encode(frame: frames.Any) -> bytes:
+    """One frame as bytes. Raises BadFrame where it is over MAX_FRAME: nothing that the other end must refuse
+    is ever sent."""
+    body = _encoder.encode(frame)
+    if len(body) > MAX_FRAME:
+        raise BadFrame(f"{type(frame).__name__} of {len(body)} bytes, over {MAX_FRAME}")
+    return bytes((VERSION,)) + len(body).to_bytes(3, "big") + body
+
+
+class Decoder:
+    """Takes bytes as they come, in any pieces, and gives whole frames. After a BadFrame it takes no more.
+    Holds at most one frame and one read."""
+
+    def __init__(self) -> None:
+        self._held = bytearray()
+        self._broken = False
+
+    def feed(self, data: bytes | memoryview) -> list[frames.Any]:
+        """Whole frames that are complete with `data`. Raises BadFrame; the frames before the bad one are in
+        its `before`."""
+        if self._broken:
+            return []
+        held = self._held
+        held += data
+        out: list[frames.Any] = []
+        at = 0
+        try:
+            while len(held) - at >= HEADER:
+                if held[at] != VERSION:
+                    raise BadFrame(f"version {held[at]}, not {VERSION}")
+                length = int.from_bytes(held[at + 1 : at + HEADER], "big")
+                if length > MAX_FRAME:
+                    raise BadFrame(f"length {length}, over {MAX_FRAME}")
+                if len(held) - at - HEADER < length:
+                    break
+                body = held[at + HEADER : at + HEADER + length]
+                at += HEADER + length
+                try:
+                    out.append(_decoder.decode(body))
+                except (msgspec.DecodeError, RecursionError) as fault:
+                    raise BadFrame(f"no frame: {fault}") from None
+        except BadFrame as fault:
+            self._broken = True
+            held.clear()
+            fault.before = out
+            raise
+        del held[:at]
+        return out
+
+    @property
+    def partial(self) -> int:
+        """Bytes held of a frame that is not whole yet."""
+        return len(self._held)
--- /dev/null
+++ b/wellhitch/trunk/frames.py
@@ -0,0 +1,216 @@
+"""Every frame of the trunk protocol, as types. Times are whole microseconds. docs/trunk-protocol.md explains
+each; a field is only ever added at the end, with a default, so that an older end still reads the frame.
+
+`ref` names a dial on one link: the end that sent the Setup chose it, and never uses it again on that link.
+"""
+
+import msgspec
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all frames: a msgpack array, its type's name first."""
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Figures of a processor, as far as it tells them: share busy, wait in us, set-ups a second that it can
+    take from all, share of set-ups that it asks each sender to hold back."""
+
+    utilisation: float | None = None
+    wait: int | None = None
+    takes_per_s: float | None = None
+    hold_back: float | None = None
+
+
+class Hello(Frame, frozen=True):
+    """First frame of either end: what it is, its exchange's number, and a mark that is new with each start."""
+
+    role: str
+    number: int
+    boot: int
+
+
+class Heartbeat(Frame, frozen=True):
+    """Sent when nothing else was; `held` counts the circuits that the sender holds for dials of this link."""
+
+    held: int = 0
+
+
+class Fault(Frame, frozen=True):
+    """The one error before the sender closes the link."""
+
+    text: str
+
+
+class Call(Frame, frozen=True):
+    """Caller to call server: a dialogue. Its answer is awaited for `left`."""
+
+    id: int
+    use_case: str
+    destination: int
+    called: str | None
+    left: int
+    width: int = 1
+    redialled: bool = False
+
+
+class Final(Frame, frozen=True):
+    """Call server to caller: the one final answer, `stands`, `pushed_back` or `forfeited`."""
+
+    id: int
+    answer: str
+    come_back: int = 0
+
+
+class Leave(Frame, frozen=True):
+    """Caller to call server: hung up, before the answer or after."""
+
+    id: int
+
+
+class Ended(Frame, frozen=True):
+    """Call server to caller: a dialogue that stood was cut."""
+
+    id: int
+
+
+class Setup(Frame, frozen=True):
+    """Set a dialogue up: by a call server to an office, or by an office to its own call server (in transit)."""
+
+    ref: int
+    origin: int
+    dialogue: int
+    dial: int
+    use_case: str
+    destination: int
+    called: str | None
+    left: int
+    width: int
+
+
+class Pass(Frame, frozen=True):
+    """Call server to its own office: one step of a dial passes the processor. `what`: `setup`, `answer` or
+    `release`."""
+
+    ref: int
+    what: str
+
+
+class Passed(Frame, frozen=True):
+    """The own processor is done with a step; `taken` False: its queue was full."""
+
+    ref: int
+    what: str
+    taken: bool = True
+
+
+class Answer(Frame, frozen=True):
+    """The set-up was answered; the dialogue stands."""
+
+    ref: int
+    load: Load | None = None
+
+
+class PushBack(Frame, frozen=True):
+    """The set-up was not taken. `reason` as `REASONS`; `wait` is named by some full processors, else 0."""
+
+    ref: int
+    reason: str
+    wait: int = 0
+    load: Load | None = None
+
+
+class Cancel(Frame, frozen=True):
+    """The sender of the Setup gives it up; confirmed by Released."""
+
+    ref: int
+
+
+class Release(Frame, frozen=True):
+    """The sender of the Setup ends a dialogue that stood; confirmed by Released."""
+
+    ref: int
+
+
+class Released(Frame, frozen=True):
+    """All that the dial held at this end is free."""
+
+    ref: int
+    load: Load | None = None
+
+
+class Cut(Frame, frozen=True):
+    """The taker of the Setup lost the dial, answered or not."""
+
+    ref: int
+
+
+class GroupState(Frame, frozen=True):
+    """Between a call server and its own office: circuits of the group to `number` that the sender's side
+    holds; `size` is told by the office, -1 where the sender does not know it."""
+
+    number: int
+    held: int
+    size: int = -1
+
+
+class Probe(Frame, frozen=True):
+    """Ask for a load report."""
+
+
+class LoadReport(Frame, frozen=True):
+    """A processor's figures, asked or not."""
+
+    load: Load
+    asked: bool = True
+
+
+class Word(Frame, frozen=True):
+    """Between call servers: a short message of the decisions."""
+
+    text: bytes
+
+
+class ListLine(msgspec.Struct, frozen=True, array_like=True):
+    """One office: `standing` is `ready`, `draining` or `gone`; `started` in us of the register's clock as an
+    age when the frame was sent, None for long ago; addresses as host:port."""
+
+    office: str
+    number: int
+    standing: str
+    age: int | None
+    address: str
+    peer: str = ""
+
+
+class List(Frame, frozen=True):
+    """Register to call server: `changes` to the list, or the `whole` of it. Revisions never go back."""
+
+    kind: str
+    revision: int
+    lines: list[ListLine]
+
+
+class Advice(Frame, frozen=True):
+    """Centre to call server: for each destination the tandem that had most room; -1 for none."""
+
+    tandems: list[int]
+
+
+Any = (
+    Hello | Heartbeat | Fault | Call | Final | Leave | Ended | Setup | Pass | Passed | Answer | PushBack | Cancel
+    | Release | Released | Cut | GroupState | Probe | LoadReport | Word | List | Advice
+)  # fmt: skip
+
+REASONS = (
+    "no_circuit",
+    "turned_back",
+    "far_processor_full",
+    "processor_full",
+    "lines_busy",
+    "fault",
+    "unreachable",
+)
+"""Reasons of a PushBack: no circuit left at the far end (glare); the tandem turned it back; the processor beyond
+the tandem was full; this processor is full; all lines of the number are busy; it failed; no such office."""
+
+ROLES = ("caller", "call_server", "office", "register", "centre", "operator")
