--- a/wellhitch/cli/day.py
+++ b/wellhitch/cli/day.py
@@ -5,11 +5,17 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from wellhitch.cli.check import read_day
 from wellhitch.cli.errors import told_plainly
 from wellhitch.judge.page import service_page, verdict_page
+from wellhitch.lab.from_bench import convert
 from wellhitch.lab.play import Played, play_sockets, play_virtual
+from wellhitch.settings import checked
+from wellhitch.settings.checked import Faults
+from wellhitch.settings.day import Day
+from wellhitch.settings.day import check as check_day
 from wellhitch.stand_ins.troubles import CannotPlay
 
 
@@ -58,6 +64,36 @@
     sys.exit(1 if played.verdict.breaks or played.left_open else 0)
 
 
+@day.command("from-bench")
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, default=1, show_default=True, help="the seed of our day")
+@click.option(
+    "--output", "-o", type=click.Path(path_type=Path), help="where to write it (else standard output)"
+)
+def from_bench(file: Path, seed: int, output: Path | None) -> None:
+    """Turn a day FILE that the operators' bench draws into one of ours; what is not carried over is named.
+
+    \b
+    Example: wellhitch day from-bench drawn.json -o drawn.jsonnet
+    """
+    with told_plainly():
+        try:
+            value = msgspec.json.decode(file.read_bytes())
+        except OSError as fault:
+            raise Faults(str(file), [fault.strerror or "cannot be read"]) from None
+        except msgspec.DecodeError as fault:
+            raise Faults(str(file), [str(fault)]) from None
+        made, notes = convert(value, file.stem, seed)
+        check_day(checked.read(made, Day, str(file)), str(file))
+    for note in notes:
+        click.echo(note, err=True)
+    text = msgspec.json.format(msgspec.json.encode(made), indent=1)
+    if output:
+        output.write_bytes(text + b"\n")
+    else:
+        click.echo(text.decode())
+
+
 def page(name: str, played: Played) -> str:
     """All of a played day on one page."""
     out = [f"day {name}, played in {played.seconds:.1f} s", "", verdict_page(played.verdict), ""]
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -575,6 +575,8 @@
             self._changed(dial.office.number)
 
     def _changed(self, number: int) -> None:
+        if number not in self.groups:
+            return  # nobody has told of this group yet
         self._untold.add(number)
         if self._tell_timer is None:
             self._tell_timer = self.outlet.timer(TELL_EVERY, self._tell_groups)
--- a/wellhitch/settings/checked.py
+++ b/wellhitch/settings/checked.py
@@ -33,7 +33,7 @@
         if not isinstance(value, dict):
             return [f"{path or 'the file'} = {shown(value)}: not an object"]
         return _record_faults(value, wanted, path)
-    if origin in (list, tuple) and args and not (origin is tuple and args[-1] is not Ellipsis):
+    if origin is list and args:
         if not isinstance(value, list):
             return [f"{path} = {shown(value)}: not a list"]
         return [line for at, one in enumerate(value) for line in faults_of(one, args[0], f"{path}[{at}]")]
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -50,6 +50,7 @@
     pause: Span = "1s"
     doubles: bool = False
     heeds: Share = 0.8
+    impatient: Share = 0.0
 
 
 class OfficeLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -79,6 +80,14 @@
     spread: Span = "100ms"
 
 
+class DriftLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where dialogues go changes: each `every`, each destination's share is drawn anew around its usual one,
+    with this coefficient of variation."""
+
+    every: Span
+    cv: Positive
+
+
 class CentreLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How often the centre looks, and how old its advice is when told."""
 
@@ -104,10 +113,11 @@
     on: list[int] = []
     size: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     extra: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    how: Annotated[str, msgspec.Meta(pattern="^(|silence|reset)$")] = ""
 
 
 class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """All of one day."""
+    """All of one day. `shape`: from each second on, how many times the usual traffic."""
 
     name: str
     seed: Count
@@ -123,6 +133,8 @@
     offices: OfficeLine = OfficeLine()
     register: RegisterLine = RegisterLine()
     centre: CentreLine | None = None
+    drift: DriftLine | None = None
+    shape: list[tuple[float, float]] = []
     troubles: list[TroubleLine] = []
 
 
--- a/wellhitch/stand_ins/callers.py
+++ b/wellhitch/stand_ins/callers.py
@@ -2,9 +2,11 @@
 talked, and try again when they were not served."""
 
 import asyncio
+import math
 import random
+from bisect import bisect_right
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wellhitch.interface.facts import UseCase
 from wellhitch.net.seam import Network, now_us
@@ -26,6 +28,7 @@
     marks_redials: bool = False
     short_share: float = 0.0  # trouble: so many callers ...
     short_to: float = 1.0  # ... wait for this share of their usual patience
+    impatient: float = 0.0  # so many hang up at a chance time before their patience is over
 
 
 @dataclass(slots=True)
@@ -36,6 +39,8 @@
     to: dict[int, float]
     use_cases: list[tuple[UseCase, float]]
     times: float = 1.0
+    shape: list[tuple[float, float]] = field(default_factory=list)
+    drift: tuple[int, float] | None = None
     hot_share: float = 0.0
     hot_at: int = -1
     hot_number: str = ""
@@ -78,6 +83,8 @@
         self.cases: dict[int, Case] = {}
         self.waiting: dict[Case, None] = {}
         self.calling = False
+        self._began = 0
+        self._shares: dict[int, float] = {}
         self._next_id = 0
         self._next_case = 0
         hello = frames.Hello("caller", number, boot)
@@ -90,14 +97,37 @@
     def start(self) -> None:
         """Begin to call."""
         self.calling = True
+        self._began = self.now()
+        self._shares = dict(self.demand.to)
+        if self.demand.drift:
+            self._drift()
         self._schedule()
 
     def finish(self) -> None:
         """No new dialogues; those that run go on."""
         self.calling = False
 
+    def _drift(self) -> None:
+        """Draw the shares of destinations anew, the whole as it was."""
+        if not self.calling or not self.demand.drift:
+            return
+        every, cv = self.demand.drift
+        sigma = math.sqrt(math.log(1 + cv * cv))
+        drawn = {to: rate * self.chance.lognormvariate(0, sigma) for to, rate in self.demand.to.items()}
+        whole = sum(drawn.values()) or 1.0
+        self._shares = {to: rate * sum(self.demand.to.values()) / whole for to, rate in drawn.items()}
+        self.loop.call_later(every / 1e6, self._drift)
+
+    def _times(self) -> float:
+        """How many times the usual traffic now."""
+        shape = self.demand.shape
+        if not shape:
+            return self.demand.times
+        second = (self.now() - self._began) / 1e6
+        return self.demand.times * shape[max(0, bisect_right(shape, (second, math.inf)) - 1)][1]
+
     def _schedule(self) -> None:
-        rate = sum(self.demand.to.values()) * self.demand.times
+        rate = sum(self.demand.to.values()) * self._times()
         wait = self.chance.expovariate(rate) if rate > 0 else 0.2
         # Looked at again after a fifth of a second at most, so that a change of rate is followed.
         if wait > 0.2 or rate <= 0:
@@ -113,8 +143,7 @@
         if not self.calling:
             return
         demand, chance = self.demand, self.chance
-        places = list(demand.to)
-        destination = chance.choices(places, [demand.to[place] for place in places])[0]
+        destination = chance.choices(list(self._shares), list(self._shares.values()))[0]
         use = chance.choices([u for u, _ in demand.use_cases], [share for _, share in demand.use_cases])[0]
         called = f"{chance.getrandbits(40):010x}"
         if demand.hot_share and chance.random() < demand.hot_share and demand.hot_at != self.number:
@@ -161,7 +190,10 @@
             self._unserved(case, 0)
             return
         self.cases[case.id] = case
-        case.timer = self.loop.call_later(left / 1e6, self._impatient, case)
+        waits = left / 1e6
+        if self.habits.impatient and self.chance.random() < self.habits.impatient:
+            waits *= self.chance.random()
+        case.timer = self.loop.call_later(waits, self._impatient, case)
 
     def _impatient(self, case: Case) -> None:
         self.counts["gave_up"] += 1
--- a/wellhitch/stand_ins/office.py
+++ b/wellhitch/stand_ins/office.py
@@ -46,6 +46,7 @@
     """What is wrong with an office now, as troubles set it."""
 
     lost_answers: float = 0.0
+    reset_answers: float = 0.0  # in place of the answer, the dial is cut
     twice: float = 0.0  # share of answers told twice
     after_release: bool = False  # answers again once released
     error_rate: float = 0.0
@@ -313,14 +314,23 @@
             if leg.port.transport:
                 leg.port.transport.write(b"\x01\x00\x00\x05\xc1\xc1\xc1\xc1\xc1")
             return
-        if self.ills.lost_answers and self.chance.random() < self.ills.lost_answers:
-            self.counts["answers_lost"] += 1
+        if self._answer_is_lost(leg):
             return
         said = frames.Answer(leg.setup.ref, self.load())
         self._say(leg, said)
         if self.ills.twice and self.chance.random() < self.ills.twice:
             self._say(leg, said)
 
+    def _answer_is_lost(self, leg: Leg) -> bool:
+        """Troubles of the way back: silence in place of the answer, or a reset."""
+        lost, reset = self.ills.lost_answers, self.ills.reset_answers
+        if not (lost or reset) or (drawn := self.chance.random()) >= lost + reset:
+            return False
+        self.counts["answers_lost"] += 1
+        if drawn >= lost:
+            self.cut(leg)
+        return True
+
     def _hand_over(self, leg: Leg) -> None:
         """A dialogue in transit goes to the own call server, which decides."""
         home = self.home()
@@ -353,8 +363,7 @@
         leg = self.transits.get(onward)
         if leg and not leg.over and not leg.answered:
             leg.answered = True
-            if self.ills.lost_answers and self.chance.random() < self.ills.lost_answers:
-                self.counts["answers_lost"] += 1
+            if self._answer_is_lost(leg):
                 return
             self._say(leg, frames.Answer(leg.setup.ref, self.load()))
 
--- a/wellhitch/stand_ins/town.py
+++ b/wellhitch/stand_ins/town.py
@@ -97,7 +97,9 @@
         self.lines = {one.number: one for one in day.exchanges}
         self.zones = {one.number: one.zone for one in day.exchanges}
         for one in day.exchanges:
-            self.trunks[one.number] = Trunks(one.number, {}, day.offices.lines)
+            # A pair without a group has one of no circuits: both ends tell so, and nobody dials over it.
+            none = {other: Group(0) for other in self.zones if other != one.number}
+            self.trunks[one.number] = Trunks(one.number, none, day.offices.lines)
         for group in day.groups:
             a, b = group.ends
             self.trunks[a].groups[b] = Group(group.size)
@@ -229,6 +231,7 @@
             day.callers.doubles,
             day.callers.heeds,
             day.limits.marks_redials,
+            impatient=day.callers.impatient,
         )
         return Callers(
             self.loop,
@@ -237,7 +240,12 @@
             self.addresses.of(f"server-{line.number}", "callers"),
             self.recorder("callers", name, number=line.number),
             self.chance(name),
-            Demand({int(to): rate for to, rate in line.calls.items() if rate > 0}, self.use_cases()),
+            Demand(
+                {int(to): rate for to, rate in line.calls.items() if rate > 0},
+                self.use_cases(),
+                shape=sorted(day.shape),
+                drift=(span(day.drift.every), day.drift.cv) if day.drift else None,
+            ),
             habits,
             1,
         )
--- a/wellhitch/stand_ins/troubles.py
+++ b/wellhitch/stand_ins/troubles.py
@@ -161,8 +161,8 @@
 
 
 def answer_lost(town: Town, t: TroubleLine) -> Undo:
-    """`size` of the answers do not come."""
-    return _ill(town, t, "lost_answers", t.size, 0.0)
+    """`size` of the answers do not come: silence, or where `how` says so a reset."""
+    return _ill(town, t, "reset_answers" if t.how == "reset" else "lost_answers", t.size, 0.0)
 
 
 def answer_twice(town: Town, t: TroubleLine) -> Undo:
