--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,309 @@
+"""Whole days in virtual time: every trouble bites, and in the hard cases the rules are kept by the captures."""
+
+import hashlib
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from world import RULES, USE_CASES, day, played, rules, trouble
+
+from wellhitch.lab.fleet import InProcess
+from wellhitch.lab.play import Played
+from wellhitch.settings.day import KINDS, Day
+from wellhitch.stand_ins.town import Town
+from wellhitch.stand_ins.troubles import TABLE
+from wellhitch.trunk import frames
+from wellhitch.trunk.capture import Note
+
+
+def frames_of(done: Played, kind: type, party: str, way: str) -> list[Any]:
+    """Frames of one kind that a party saw."""
+    return [
+        line
+        for one in done.captures
+        if one.party == party
+        for line in one.lines
+        if not isinstance(line, Note) and line.way == way and isinstance(line.frame, kind)
+    ]
+
+
+def notes_of(done: Played, what: str, party: str) -> list[Note]:
+    """Notes of one kind."""
+    found = [
+        line for one in done.captures if one.party == party for line in one.lines if isinstance(line, Note)
+    ]
+    return [note for note in found if note.what == what]
+
+
+def served(done: Played) -> float:
+    return done.service.whole
+
+
+def slowest(done: Played) -> int:
+    times = sorted(done.service.set_up_us)
+    return times[int(len(times) * 0.9)]
+
+
+def cut(done: Played) -> int:
+    return sum(one.cut for one in done.service.by_use_case.values())
+
+
+def count(name: str) -> Callable[[Played], int]:
+    """A count of the offices."""
+    return lambda done: sum(office.get(name, 0) for office in done.offices.values())
+
+
+def tell(name: str) -> Callable[[Played], int]:
+    """A count that the call servers tell of themselves."""
+    return lambda done: sum(status.get("counts", {}).get(name, 0) for status in done.servers.values())
+
+
+def asked(done: Played) -> int:
+    return sum(one.asked for one in done.service.by_use_case.values())
+
+
+def most_of_one(done: Played) -> int:
+    return max(status.get("counts", {}).get("taken", 0) for status in done.servers.values())
+
+
+def short_tries(done: Played) -> int:
+    return sum(line.frame.left < 2_000_000 for line in frames_of(done, frames.Call, "callers", "out"))
+
+
+def fresh_offices(done: Played) -> int:
+    return sum("." in name for name in done.offices)
+
+
+def told_twice(done: Played) -> int:
+    return len(frames_of(done, frames.Answer, "office", "out")) - count("answered")(done)
+
+
+def old_lists(done: Played) -> int:
+    return tell("lists_skipped")(done)
+
+
+def oldest_load(done: Played) -> int:
+    """How often a load of no wait is told though the processor is pressed: the report is old."""
+    loads = [
+        line.frame.load.wait for line in frames_of(done, frames.Answer, "office", "out") if line.frame.load
+    ]
+    return sum(wait == 0 for wait in loads)
+
+
+def downs(done: Played) -> int:
+    return len(notes_of(done, "down", "office"))
+
+
+def longest_pause(done: Played) -> int:
+    """The longest time between two answers to one exchange's callers."""
+    out = 0
+    for one in done.captures:
+        if one.party == "callers":
+            times = [line.t for line in one.lines if not isinstance(line, Note) and line.way == "in"]
+            out = max([out, *(b - a for a, b in zip(times, times[1:], strict=False))])
+    return out
+
+
+MORE: dict[str, tuple[dict[str, Any], Callable[[Played], float], dict[str, Any]]] = {
+    "slow": ({"size": 8, "on": [1]}, slowest, {}),
+    "hang": ({"on": [1]}, lambda done: -served(done), {}),
+    "answer_lost": ({"size": 0.4}, count("answers_lost"), {}),
+    "burst": ({"size": 3}, asked, {}),
+    "hot_caller": ({"size": 1.0, "on": [2]}, most_of_one, {}),
+    "give_up": ({"size": 0.9, "extra": 0.2}, short_tries, {}),
+    "deploy": ({"on": [0, 1], "size": 0.34, "extra": 1}, fresh_offices, {}),
+    "neighbour": ({"size": 0.9, "extra": 1}, slowest, {}),
+    "shared_slow": ({"size": 6}, slowest, {}),
+    "origin_slow": ({"size": 60, "on": [0]}, cut, {"zoned": True}),
+    "report_late": ({"size": 3}, oldest_load, {"offices": {"reports": "wait"}, "rate": 25.0}),
+    "balancer_crash": ({"on": [1], "length": "1s"}, cut, {}),
+    "ageing": ({"size": 10, "extra": 1, "on": [1]}, fresh_offices, {}),
+    "mass_restart": ({"on": [0, 1, 2], "length": "1s"}, fresh_offices, {}),
+    "errors": ({"size": 0.5}, count("fault"), {}),
+    "crash": ({"on": [1], "length": "1s"}, cut, {}),
+    "link_cut": ({"on": [1]}, downs, {}),
+    "half_open": ({"on": [1], "length": "5s"}, downs, {}),
+    "reads_nothing": ({"on": [1]}, slowest, {}),
+    "trickle": ({}, slowest, {"setup": "100us"}),
+    "mid_frame_reset": ({"on": [1]}, downs, {}),
+    "garbage": ({"on": [1]}, downs, {}),
+    "answer_twice": ({"size": 0.5}, told_twice, {}),
+    "answer_after_release": ({}, told_twice, {}),
+    "list_goes_back": ({}, old_lists, {"with": [trouble("deploy", at="3s", on=[0, 1], size=0.34, extra=1)]}),
+    "register_restart": ({"size": 2}, lambda done: len(notes_of(done, "down", "register")), {}),
+    "server_paused": ({"on": [1], "length": "2s"}, longest_pause, {}),
+    "server_killed": ({"on": [1], "length": "1s"}, cut, {}),
+}
+
+
+def test_every_kind_of_trouble_has_its_play_and_its_proof() -> None:
+    assert set(TABLE) == set(KINDS) == set(MORE)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_trouble_bites_and_the_rules_hold(kind: str) -> None:
+    line, bite, over = MORE[kind]
+    over = dict(over)
+    always = over.pop("with", [])
+    if over.pop("zoned", False):
+        over["exchanges"] = [
+            {"number": n, "zone": "ab"[n % 2], "setup": "10ms", "calls": {str((n + 1) % 3): 8}}
+            for n in range(3)
+        ]
+    quiet = played(day(**over, troubles=always))
+    ill = played(day(**over, troubles=[*always, trouble(kind, **line)]))
+    assert quiet.verdict.breaks == [] and ill.verdict.breaks == []
+    assert bite(ill) > bite(quiet), f"{bite(ill)} with {kind}, {bite(quiet)} without"
+    assert not ill.left_open and not ill.lost_circuits
+
+
+# ---- one seed, one history ----
+
+
+def digest(done: Played) -> str:
+    return hashlib.sha256(repr([(one.name, one.lines) for one in done.captures]).encode()).hexdigest()
+
+
+def mixed() -> Day:
+    kinds = [
+        trouble("answer_lost", at="1s", size=0.3),
+        trouble("deploy", at="2s", on=[0, 1], size=0.34, extra=1),
+        trouble("server_paused", at="4s", length="1s", on=[2]),
+        trouble("link_cut", at="5s", on=[1]),
+        trouble("server_killed", at="6s", length="1s", on=[0]),
+    ]
+    return day(net={"same": "2ms", "cross": "2ms", "jitter": 0.3}, troubles=kinds)
+
+
+def test_the_same_seed_gives_the_same_captures_and_another_does_not() -> None:
+    one, two = played(mixed()), played(mixed())
+    assert digest(one) == digest(two) and one.verdict.breaks == []
+    other = played(day(seed=8))
+    assert digest(other) != digest(played(day()))
+
+
+# ---- hard cases ----
+
+
+def test_an_office_drains_while_it_reads_nothing() -> None:
+    """Set-ups lie unread in buffers that are not ours; none is worked on after the grace."""
+    made = day(
+        rate=20,
+        troubles=[
+            trouble("reads_nothing", at="3s", length="4s", on=[1]),
+            trouble("deploy", at="3500ms", on=[1], size=0.34, extra=6),
+        ],
+    )
+    done = played(made)
+    assert done.verdict.breaks == []
+    assert tell("resets_of_drained")(done) > 0
+
+
+def test_a_tandems_process_is_killed_with_dialogues_in_transit() -> None:
+    groups = [{"ends": [0, 2], "size": 100}, {"ends": [1, 2], "size": 100}]
+    told = {"may_tell_peers": True}
+    killed = [trouble("server_killed", length="2s", on=[2])]
+    done = played(day(groups=groups, limits=told, rate=12, troubles=killed))
+    assert done.verdict.breaks == [] and done.verdict.seen["transits"] > 50
+    assert cut(done) > 5 and not done.lost_circuits and not done.left_open
+
+
+def test_a_link_flaps_faster_than_the_release_wait() -> None:
+    done = played(day(rate=15, troubles=[trouble("link_cut", size=30, extra=0.12, on=[1])]))
+    assert done.verdict.breaks == [] and not done.lost_circuits
+    assert downs(done) >= 40
+
+
+def test_the_register_restarts_with_an_older_list_than_ours() -> None:
+    """What drained stays drained: the older list is skipped until the register has caught up."""
+    made = day(
+        rate=12,
+        troubles=[
+            trouble("deploy", at="2s", on=[1], size=0.34, extra=6),
+            trouble("register_restart", at="4s", size=3),
+        ],
+    )
+    done = played(made)
+    assert done.verdict.breaks == [] and tell("lists_skipped")(done) >= 3
+
+
+def test_all_offices_come_up_at_once_and_cold() -> None:
+    done = played(day(n=4, rate=20, setup="20ms", troubles=[trouble("mass_restart", length="500ms")]))
+    assert done.verdict.breaks == [] and done.verdict.seen["cold_setups"] > 20
+    assert not count("fell_over")(done)
+
+
+def test_call_servers_with_clocks_an_hour_apart() -> None:
+    made = mixed()
+    apart = played(made, clocks={0: 3600.0, 1: 0.0, 2: -0.5 + 7200.0})
+    assert apart.verdict.breaks == []
+    assert abs(served(apart) - served(played(made))) < 0.05
+
+
+def test_a_call_server_that_stands_still_answers_what_it_owes_once_it_goes_on() -> None:
+    made = day(rate=20, setup="4ms", troubles=[trouble("server_paused", length="2s", on=[0, 1])])
+    done = played(made)
+    assert done.verdict.breaks == [] and not done.left_open
+    assert longest_pause(done) >= 2_000_000
+
+
+@pytest.mark.parametrize(
+    "over",
+    [
+        {"n": 1},
+        {"n": 2},
+        {"group": 0},
+        {"group": 1},
+        {"limits": {"most_dials": 1}},
+        {"limits": {"may_cancel": False, "max_open": 1}},
+        {"rules": {**RULES, "release_wait": "20s"}},
+        {"rules": {**RULES, "release_wait": "0s", "drain_grace": "0s", "cold_for": "0s"}},
+        {"callers": {"patience": 0.01, "retries": 0}},
+        {"use_cases": [{**USE_CASES[0], "agreed_time": "1ms", "hold": "0s"}]},
+        {"use_cases": [{**USE_CASES[0], "width": 20}]},
+        {"offices": {"queue": "0s"}},
+        {"callers": {"retries": 50, "pause": "0s"}, "group": 1},
+    ],
+    ids=str,
+)
+def test_settings_that_are_legal_but_extreme(over: dict[str, Any]) -> None:
+    lost = [trouble("answer_lost", size=0.5)] if over.get("n", 3) > 1 else []
+    done = played(day(**{"troubles": lost, "length": "6s", **over}) if over.get("n") != 1 else alone())
+    assert done.verdict.breaks == [] and not done.left_open and not done.lost_circuits
+    assert all(not status["counts"].get("decision_faults") for status in done.servers.values())
+
+
+def alone() -> Day:
+    """One exchange, whose callers call itself: there is no way, and they are told at once."""
+    return day(n=1, length="4s", exchanges=[{"number": 0, "setup": "10ms", "calls": {"0": 5}}])
+
+
+def test_a_decision_that_raises_now_and_then_breaks_no_rule(monkeypatch: pytest.MonkeyPatch) -> None:
+    from wellhitch.server import switch as switch_module
+
+    real, seen = switch_module.decide, [0]
+
+    def faulty(x: Any, event: Any, now: int) -> Any:
+        seen[0] += 1
+        if seen[0] % 97 == 0:
+            raise KeyError("broken on purpose")
+        return real(x, event, now)
+
+    monkeypatch.setattr(switch_module, "decide", faulty)
+    done = played(day(rate=12))
+    assert rules(done) == [] and tell("decision_faults")(done) > 20 and not done.left_open
+
+
+def test_what_the_operators_see_is_there() -> None:
+    seen: dict[str, Any] = {}
+
+    def look(town: Town, fleet: InProcess) -> None:
+        town.loop.call_later(6, lambda: seen.update(fleet.daemons[0].status()))
+
+    played(day(), meddle=look)
+    assert seen["number"] == 0 and {one["id"] for one in seen["offices"]} == {
+        "office-0",
+        "office-1",
+        "office-2",
+    }
+    assert seen["groups"]["1"]["size"] == 20 and seen["counts"]["taken"] > 10
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,105 @@
+"""Links under fire: ports on the emulated network."""
+
+import pytest
+from world import TwoEnds
+
+from wellhitch.trunk import frames
+from wellhitch.trunk.port import FRAMES_PER_S, MAX_UNSENT
+
+
+@pytest.fixture
+def ends() -> TwoEnds:
+    return TwoEnds()
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", "version 71"),
+        (b"\x01\xff\xff\xff", "length 16777215"),
+        (b"\x01\x00\x00\x03\xc1\xc1\xc1", "no frame"),
+    ],
+)
+def test_garbage_gets_one_clear_error_and_costs_that_link_alone(
+    ends: TwoEnds, data: bytes, said: str
+) -> None:
+    other = TwoEnds()
+    assert ends.a.transport is not None
+    ends.a.transport.write(data)
+    ends.loop.advance(0.5)
+    assert said in ends.office.down[0] and len(ends.office.down) == 1
+    assert f"told by the other end: {said}" in ends.server.down[0]
+    other.loop.advance(0.5)
+    assert not other.server.down
+
+
+def test_a_reset_in_mid_frame_is_a_lost_link_and_no_frame(ends: TwoEnds) -> None:
+    assert ends.a.transport is not None
+    ends.a.transport.write(b"\x01\x00\x00\x40half")
+    ends.a.transport.abort()
+    ends.loop.advance(0.5)
+    assert ends.office.down == ["reset"] and not ends.office.got
+
+
+def test_bytes_one_by_one_make_the_same_frames(ends: TwoEnds) -> None:
+    ends.net.spoil("s", "o").trickle = True
+    ends.a.send(frames.Cancel(7))
+    ends.a.send(frames.Release(8))
+    ends.loop.advance(1)
+    assert ends.office.got == [frames.Cancel(7), frames.Release(8)]
+
+
+def test_a_half_open_link_is_found_by_both_ends(ends: TwoEnds) -> None:
+    ends.net.spoil("s", "o").silent = True
+    ends.loop.advance(3)
+    assert not ends.server.down
+    ends.loop.advance(2)
+    assert ends.server.down == ["silent"] and ends.office.down == ["silent"]
+
+
+def test_a_reader_that_stops_costs_a_bounded_number_of_frames_then_its_link(ends: TwoEnds) -> None:
+    assert ends.b.transport is not None
+    ends.b.transport.pause_reading()
+    sent = 0
+    for _ in range(40):
+        for _ in range(400):
+            sent += ends.a.send(frames.Cancel(sent))
+        ends.loop.advance(0.01)
+        if ends.server.down:
+            break
+    assert "reads nothing" in ends.server.down[0]
+    assert len(ends.a._outbox) <= MAX_UNSENT
+
+
+def test_a_mark_is_answered_once_all_before_it_was_read(ends: TwoEnds) -> None:
+    assert ends.b.transport is not None
+    ends.b.transport.pause_reading()
+    ends.a.send(frames.Cancel(1))
+    mark = ends.a.mark()
+    ends.loop.advance(0.3)
+    assert not ends.a.marked(mark)
+    ends.b.transport.resume_reading()
+    ends.loop.advance(0.1)
+    assert ends.a.marked(mark) and ends.office.got == [frames.Cancel(1)]
+
+
+def test_frames_that_wait_here_can_be_taken_back(ends: TwoEnds) -> None:
+    ends.a.pause_writing()
+    ends.a.send(frames.Cancel(1))
+    ends.a.send(frames.Release(2))
+    assert ends.a.withdraw(lambda frame: isinstance(frame, frames.Cancel)) == [frames.Cancel(1)]
+    ends.a.resume_writing()
+    ends.loop.advance(0.1)
+    assert ends.office.got == [frames.Release(2)]
+
+
+def test_a_sender_over_the_rate_is_read_later_and_loses_nothing(ends: TwoEnds) -> None:
+    whole = FRAMES_PER_S + 3000
+    for at in range(whole):
+        ends.a.send(frames.Cancel(at))
+        if at % 1000 == 0:
+            ends.loop.advance(0.002)
+    ends.loop.advance(0.3)
+    assert ends.b.rate_pauses == 1 and len(ends.office.got) < whole
+    ends.loop.advance(2)
+    assert len(ends.office.got) == whole
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,223 @@
+"""Settings: all faults at once, each with field, value and what is allowed; the command's words and exit codes."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from world import RULES, USE_CASES, day, played
+
+from wellhitch.cli.main import main
+from wellhitch.lab.fleet import HostAddresses, sheet_of
+from wellhitch.lab.from_bench import convert
+from wellhitch.settings import checked, sheet
+from wellhitch.settings.checked import Faults
+from wellhitch.settings.day import Day, check
+
+DOORS = {"callers": "127.0.0.1:0", "register": "127.0.0.1:7000"}
+USES = [{name: value for name, value in use.items() if name != "share"} for use in USE_CASES]
+SHEET = {"number": 3, "seed": 1, "peers": 2, "use_cases": USES, "rules": RULES, "doors": DOORS}
+
+
+def said(*args: str) -> tuple[int, str]:
+    done = CliRunner().invoke(main, list(args))
+    assert done.exception is None or isinstance(done.exception, SystemExit), done.exception
+    return done.exit_code, done.output
+
+
+def test_a_sheet_is_read_with_times_in_whole_microseconds() -> None:
+    made = sheet.opened(checked.read(SHEET, sheet.Sheet, "x"))
+    assert made.use_cases[0].agreed_time == 1_500_000 and made.release.release_wait == 200_000
+    assert made.place.number == 3 and not made.place.advised
+
+
+@pytest.mark.parametrize(("text", "us"), [("1.5s", 1_500_000), ("250ms", 250_000), ("7us", 7), ("0s", 0)])
+def test_spans(text: str, us: int) -> None:
+    assert sheet.span(text) == us
+
+
+def test_all_faults_are_listed_at_once() -> None:
+    bad: dict[str, Any] = json.loads(json.dumps(SHEET))
+    bad["number"] = -1
+    bad["colour"] = "red"
+    bad["use_cases"][0]["payoff"] = "much"
+    bad["use_cases"][1]["agreed_time"] = "2 hours"
+    del bad["rules"]["release_wait"]
+    with pytest.raises(Faults) as faults:
+        checked.read(bad, sheet.Sheet, "x.jsonnet")
+    lines = faults.value.lines
+    assert len(lines) == 5
+    for start in (
+        "colour = 'red'",
+        "number = -1",
+        "use_cases[0].payoff = 'much'",
+        "rules.release_wait: missing",
+    ):
+        assert any(line.startswith(start) for line in lines), (start, lines)
+    assert any("use_cases[1].agreed_time = '2 hours'" in line for line in lines)
+
+
+@pytest.mark.parametrize(
+    ("change", "said_so"),
+    [
+        ({"use_cases": []}, "use_cases = []"),
+        ({"use_cases": [USES[0], USES[0]]}, "named twice"),
+        ({"use_cases": [{**USES[0], "agreed_time": "0s"}]}, "1ms at least"),
+        ({"use_cases": [{**USES[0], "agreed_time": "10s"}]}, "over the outer limit"),
+        ({"doors": {**DOORS, "register": ""}}, "doors.register"),
+        ({"doors": {**DOORS, "callers": "10.0.0.1:70"}}, "a loopback address"),
+        ({"doors": {**DOORS, "callers": "127.0.0.1:99999"}}, "not host:port"),
+    ],
+)
+def test_what_holds_between_fields_is_checked(change: dict[str, Any], said_so: str) -> None:
+    with pytest.raises(Faults, match=said_so.replace("[", r"\[").replace("]", r"\]")):
+        sheet.check(checked.read({**SHEET, **change}, sheet.Sheet, "x"), "x")
+
+
+@pytest.mark.parametrize(
+    ("change", "said_so"),
+    [
+        ({"groups": [{"ends": [0, 9], "size": 1}]}, "two exchanges of the day"),
+        ({"groups": [{"ends": [0, 1], "size": 1}, {"ends": [1, 0], "size": 1}]}, "stands twice"),
+        ({"troubles": [{"kind": "plague", "at": "1s"}]}, "'plague'"),
+        ({"troubles": [{"kind": "slow", "at": "1s", "on": [7]}]}, "no such exchange"),
+    ],
+)
+def test_days_are_checked_too(change: dict[str, Any], said_so: str) -> None:
+    with pytest.raises(Faults, match=said_so):
+        day(**change)
+
+
+def write(tmp_path: Path, value: Any) -> str:
+    file = tmp_path / "x.jsonnet"
+    file.write_text(value if isinstance(value, str) else json.dumps(value))
+    return str(file)
+
+
+def test_check_tells_well_from_ill(tmp_path: Path) -> None:
+    assert said("check", write(tmp_path, SHEET)) == (0, f"{tmp_path}/x.jsonnet: a sheet, without faults\n")
+    code, text = said("check", write(tmp_path, {**SHEET, "number": "three", "seed": -1}))
+    assert code == 2 and "number = 'three'" in text and "seed = -1" in text
+    code, text = said("check", write(tmp_path, "{ number: 1 + }"))
+    assert code == 2 and "x.jsonnet:1:" in text
+    code, text = said("check", str(tmp_path / "none.jsonnet"))
+    assert code == 2 and "no such file" in text
+    assert said("serve", write(tmp_path, "[]"))[0] == 2
+
+
+def test_play_and_judge_by_the_command(tmp_path: Path) -> None:
+    small = json.loads(json.dumps(checked_plain(day(length="3s"))))
+    file, folder = write(tmp_path, small), str(tmp_path / "captures")
+    code, text = said("day", "play", file, "--virtual", "--capture", folder)
+    assert code == 0 and text.count(" kept\n") == 5
+    code, again = said("judge", folder)
+    assert code == 0 and "never two dials out" in again
+    assert said("day", "play", file, "--virtual", "--capture", folder)[0] == 2  # never over another's
+    (Path(folder) / "world.capture").write_text("")
+    code, text = said("judge", folder)
+    assert code == 2 and "world.capture: empty" in text
+
+
+def checked_plain(made: Day) -> Any:
+    return msgspec.to_builtins(made)
+
+
+def test_a_day_makes_the_sheets_of_its_call_servers() -> None:
+    made = sheet_of(day(), 1, HostAddresses())
+    assert made.doors.callers == "server-1:2" and made.peers == 2
+
+
+# ---- days of the operators' bench ----
+
+
+def bench_day(**over: Any) -> dict[str, Any]:
+    """A small day in the bench's form, built here."""
+    n = 3
+    sizes = [0, 12, 12, 0, 0, 0, 0, 0, 0]  # 1 and 2 are not linked
+    made = {
+        "v": 1, "site": "s", "family": "trunks", "kind": "trouble", "length": 6_000_000, "tail": 1,
+        "zones": ["a", "b"], "net": {"same": 2000, "cross": 4000, "client": 0, "jitter": 0.2},
+        "traffic": {"load": 0.9, "shape": [[0.0, 1.0], [3.0, 1.2]], "zone_share": [0.6, 0.4]},
+        "clients": {
+            "retries": 1, "try_share": 0.35, "backoff": "exp", "backoff_us": 800_000.0, "honour": 0.5,
+            "max_retry_after": 2_000_000, "impatient": 0.0, "marks_retry": True,
+        },
+        "discovery": {"ask": False, "notice": 500_000, "silent_notice": 900_000, "add": 300_000, "spread": 50_000},
+        "allow": {
+            "max_attempts": 5, "cancel": True, "probes": False, "peers": True, "retry_after": True, "max_open": 9000,
+        },
+        "drain_grace": 250_000, "fall_multiple": 2.5, "fall_for": 2_000_000,
+        "classes": [
+            {
+                "name": "cheap", "share": 3.0, "work": 2000.0, "aim": 1_500_000, "deadline": 9_000_000, "worth": 1.0,
+                "late_worth": 0.2,
+            }
+        ],
+        "tiers": [
+            {
+                "kinds": [{"cold_from": 0.4, "cold": 9_000_000, "error_rate": 0.0}], "report_how": "answers",
+                "report_fields": ["x0", "x1", "qps"], "stated_cold_from": 0.33, "stated_cold": 15_000_000,
+            }
+        ],
+        "servers": [{"zone": i % 2, "cell": i % n, "speed": 0.1} for i in range(n + 1)],
+        "balancers": [{"zone": i % 2, "weight": 1.0} for i in range(n)],
+        "troubles": [
+            {"kind": "answer_lost", "at": 1_000_000, "len": 2_000_000, "size": 0.3, "extra": 0, "on": [1], "which": 0,
+             "steps": [], "how": "reset"},
+            {"kind": "deploy", "at": 2_000_000, "len": 2_000_000, "size": 0.3, "extra": 1.0, "on": [], "which": 0,
+             "steps": [{"at": 2_500_000, "stop": [2], "start": [3]}]},
+            {"kind": "locusts", "at": 0, "len": 1, "size": 1, "extra": 0, "on": [], "which": 0, "steps": []},
+        ],
+        "fam": {
+            "n": n, "pools": False, "capacity": 12.0, "pull": [[0, 1, 1], [1, 0, 0.5], [1, 0.5, 0]], "size": sizes,
+            "hold": [2_000_000.0], "width": [1], "advice": 700_000, "drift": 2_000_000, "drift_cv": 0.4,
+            "cancel_drops": True, "far": "answers", "finish_first": False, "follow": 0.4, "hot_lines": 5, "look": 0.2,
+            "peer_work": 0.1, "queue": 1_500_000.0, "reject": 0.2, "release": 200_000, "tells_wait": False,
+            "moon": "full",
+        },
+        "stars": 5,
+    }  # fmt: skip
+    return {**made, **over}
+
+
+def test_a_bench_day_becomes_ours_and_nothing_is_dropped_in_silence() -> None:
+    plain, notes = convert(bench_day(), "drawn", 3)
+    made = checked.read(plain, Day, "drawn")
+    check(made, "drawn")
+    assert made.rules.release_wait == "200000us" and made.offices.reports == "takes" and made.centre
+    assert [group.ends for group in made.groups] == [[0, 1], [0, 2]]
+    assert sum(sum(one.calls.values()) for one in made.exchanges) == pytest.approx(0.9 * 12)
+    # Two of the three exchanges stand in zone a, which has six tenths of the traffic.
+    assert sum(made.exchanges[0].calls.values()) == pytest.approx(0.9 * 12 * 0.3)
+    assert [one.kind for one in made.troubles] == ["answer_lost", "deploy"]
+    assert made.troubles[0].how == "reset" and made.troubles[1].on == [2]
+    for text in (
+        "stars: not known",
+        "fam.moon: not known",
+        "'locusts': not known, not played",
+        "site: not carried",
+    ):
+        assert any(text in note for note in notes), text
+
+
+def test_a_bench_day_plays_and_keeps_the_rules() -> None:
+    made = checked.read(convert(bench_day(), "drawn", 3)[0], Day, "drawn")
+    done = played(made)
+    assert done.verdict.breaks == [] and done.service.whole > 0.5
+
+
+@pytest.mark.parametrize(
+    ("value", "said_so"),
+    [
+        ([], "not a day file of the bench"),
+        ({"fam": {}}, "classes: missing"),
+        (bench_day(fam={**bench_day()["fam"], "pools": True}), "pools of agents are not played"),
+    ],
+)
+def test_what_cannot_be_ours_is_told_plainly(value: Any, said_so: str, tmp_path: Path) -> None:
+    file = tmp_path / "d.json"
+    file.write_text(json.dumps(value))
+    code, text = said("day", "from-bench", str(file))
+    assert code == 2 and said_so in text
--- /dev/null
+++ b/tests/test_switch.py
@@ -0,0 +1,361 @@
+"""The switch alone: events in by hand, frames out to a list, time by hand."""
+
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Any
+
+import pytest
+from conftest import CHEAP, DEAR, SECOND
+
+from wellhitch.interface import events as ev
+from wellhitch.interface.facts import ColdRule, Permissions, Place, ReleaseRule
+from wellhitch.server import switch as switch_module
+from wellhitch.server.dials import LEGAL, DialOut, Step, Taken
+from wellhitch.server.switch import ANSWER_MARGIN, Switch
+from wellhitch.trunk import frames
+
+WAIT = 200_000
+
+
+@dataclass(order=True)
+class Ring:
+    due: int
+    at: int
+    ring: Callable[[int], None] = field(compare=False)
+    cancelled: bool = field(default=False, compare=False)
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+@dataclass
+class Paper:
+    """An outlet that writes everything down."""
+
+    sent: list[tuple[str, frames.Any]] = field(default_factory=list)
+    waiting: list[frames.Any] = field(default_factory=list)
+    timers: list[Ring] = field(default_factory=list)
+    said: list[str] = field(default_factory=list)
+    resets: list[str] = field(default_factory=list)
+    read_to: int = 0
+    now: int = 0
+    rung: int = 0
+
+    def to_caller(self, link: Hashable, frame: frames.Any) -> bool:
+        self.sent.append(("caller", frame))
+        return True
+
+    def to_office(self, office: str, frame: frames.Any) -> bool:
+        self.sent.append((office, frame))
+        return True
+
+    def withdraw(self, office: str, which: Callable[[frames.Any], bool]) -> list[frames.Any]:
+        taken = [frame for frame in self.waiting if which(frame)]
+        self.waiting = [frame for frame in self.waiting if not which(frame)]
+        return taken
+
+    def mark(self, office: str) -> int:
+        return 1
+
+    def marked(self, office: str, n: int) -> bool:
+        return self.read_to >= n
+
+    def reset(self, office: str, why: str) -> None:
+        self.resets.append(office)
+
+    def keep_link(self, office: str, address: str) -> None:
+        pass
+
+    def drop_link(self, office: str) -> None:
+        pass
+
+    def tell_peers(self, text: bytes) -> None:
+        pass
+
+    def timer(self, after: int, ring: Callable[[int], None]) -> Ring:
+        made = Ring(self.now + after, len(self.timers) + self.rung, ring)
+        heappush(self.timers, made)
+        return made
+
+    def log(self, event: str, **facts: Any) -> None:
+        self.said.append(event)
+
+
+class Bench:
+    """A switch at exchange 0 with offices 0, 1, 2, all up, groups of `size`."""
+
+    def __init__(self, size: int = 10, max_open: int = 100) -> None:
+        self.out = Paper()
+        opened = ev.Opened(
+            3,
+            (CHEAP, DEAR),
+            Place(0, 2, False, 0),
+            Permissions(4, False, False, False, 0, True),
+            ReleaseRule(WAIT, 250_000),
+            ColdRule(0.3, 10 * SECOND, 2.5, 2 * SECOND),
+        )
+        self.switch = Switch(opened, max_open, self.out)
+        self.switch.start(0)
+        self.told("ready", "ready", "ready")
+        for number in range(3):
+            self.switch.office_up(f"o{number}", 1, 0)
+        for number in (1, 2):
+            self.switch.group_told("o0", frames.GroupState(number, 0, size), 0)
+
+    def told(self, *standings: str, revision: int = 1) -> None:
+        lines = [frames.ListLine(f"o{n}", n, s, None, f"o{n}:1") for n, s in enumerate(standings)]
+        self.switch.listed(frames.List("whole", revision, lines), self.out.now)
+
+    def run(self, us: int) -> None:
+        until = self.out.now + us
+        while self.out.timers and self.out.timers[0].due <= until:
+            first = heappop(self.out.timers)
+            self.out.rung += 1
+            self.out.now = max(self.out.now, first.due)
+            if not first.cancelled:
+                first.ring(self.out.now)
+        self.out.now = until
+
+    def call(self, id: int = 1, destination: int = 1, left: int = 3 * SECOND, width: int = 1) -> None:
+        call = frames.Call(id, "cheap", destination, "aa", left, width)
+        self.switch.call("link", call, self.out.now)
+
+    def of(self, kind: type) -> list[Any]:
+        return [frame for _, frame in self.out.sent if isinstance(frame, kind)]
+
+    def pass_own(self) -> None:
+        """The own processor lets the last step through."""
+        step = [frame for frame in self.of(frames.Pass) if frame.ref][-1]
+        self.switch.passed("o0", frames.Passed(step.ref, step.what), self.out.now)
+
+    def dial(self, **call: Any) -> frames.Setup:
+        """A call whose set-up is out."""
+        self.call(**call)
+        self.pass_own()
+        made: frames.Setup = self.of(frames.Setup)[-1]
+        return made
+
+    def stand(self) -> frames.Setup:
+        setup = self.dial()
+        self.switch.answered("o1", frames.Answer(setup.ref), self.out.now)
+        self.pass_own()
+        return setup
+
+    @property
+    def finals(self) -> list[str]:
+        return [frame.answer for frame in self.of(frames.Final)]
+
+    def free(self) -> int:
+        return self.switch.groups[1].free
+
+
+@pytest.fixture
+def bench() -> Bench:
+    return Bench()
+
+
+def test_a_dialogue_stands_and_is_released_with_its_circuits(bench: Bench) -> None:
+    setup = bench.stand()
+    assert bench.finals == ["stands"] and bench.free() == 9
+    bench.switch.leave("link", 1, bench.out.now)
+    assert bench.of(frames.Release) == [frames.Release(setup.ref)] and bench.free() == 9
+    bench.switch.released("o1", frames.Released(setup.ref), bench.out.now)
+    assert bench.free() == 10 and not bench.switch.taken and bench.finals == ["stands"]
+
+
+def test_circuits_come_back_after_the_release_wait_where_nobody_confirms(bench: Bench) -> None:
+    bench.dial()
+    bench.run(3 * SECOND - ANSWER_MARGIN)
+    assert bench.finals == ["forfeited"] and len(bench.of(frames.Cancel)) >= 1
+    assert bench.free() == 9
+    bench.run(WAIT)
+    assert bench.free() == 10
+
+
+def test_the_answer_comes_before_the_callers_time_is_up(bench: Bench) -> None:
+    bench.call()
+    bench.run(3 * SECOND - ANSWER_MARGIN)
+    assert bench.finals and not bench.of(frames.Setup)  # the own processor never passed it
+
+
+def test_an_answer_that_crosses_the_cancel_is_a_stray(bench: Bench) -> None:
+    setup = bench.dial()
+    bench.run(3 * SECOND)
+    bench.switch.answered("o1", frames.Answer(setup.ref), bench.out.now)
+    bench.run(SECOND)
+    bench.switch.answered("o1", frames.Answer(setup.ref), bench.out.now)
+    assert bench.finals == ["forfeited"] and bench.switch.counts["strays.Answer"] == 2
+
+
+def test_a_caller_that_leaves_as_its_dial_times_out_and_is_answered_gets_nothing_more(bench: Bench) -> None:
+    """All three in one turn of the loop, the answer first."""
+    setup = bench.dial()
+    bench.out.now += 3 * SECOND - ANSWER_MARGIN
+    bench.switch.answered("o1", frames.Answer(setup.ref), bench.out.now)
+    bench.switch.leave("link", 1, bench.out.now)
+    bench.run(SECOND)
+    assert bench.finals == [] and bench.of(frames.Cancel) == [frames.Cancel(setup.ref)]
+    assert not bench.switch.taken and bench.free() == 10
+
+
+def test_an_answer_told_twice_is_one_answer(bench: Bench) -> None:
+    setup = bench.stand()
+    bench.switch.answered("o1", frames.Answer(setup.ref), bench.out.now)
+    assert bench.finals == ["stands"] and bench.switch.counts["strays.Answer"] == 1
+
+
+def test_a_setup_that_waits_here_is_taken_back_when_its_office_drains(bench: Bench) -> None:
+    setup = bench.dial()
+    bench.out.waiting.append(setup)
+    bench.told("ready", "draining", "ready", revision=2)
+    assert bench.out.waiting == [] and bench.switch.counts["kept_back.drained"] == 1
+    assert bench.finals == ["pushed_back"] and bench.free() == 10
+
+
+def test_a_setup_in_the_own_processor_is_kept_back_when_its_office_drains(bench: Bench) -> None:
+    bench.call()
+    bench.told("ready", "draining", "ready", revision=2)
+    bench.pass_own()
+    assert not bench.of(frames.Setup) and bench.finals == ["pushed_back"]
+
+
+@pytest.mark.parametrize(("read_to", "resets"), [(0, ["o1"]), (1, [])])
+def test_a_draining_office_that_does_not_read_loses_its_link_within_the_grace(
+    bench: Bench, read_to: int, resets: list[str]
+) -> None:
+    bench.dial()
+    bench.out.read_to = read_to
+    bench.told("ready", "draining", "ready", revision=2)
+    bench.run(249_000)
+    assert bench.out.resets == resets
+
+
+def test_a_list_that_goes_back_is_skipped(bench: Bench) -> None:
+    bench.told("ready", "draining", "ready", revision=5)
+    bench.told("ready", "ready", "ready", revision=4)
+    assert bench.switch.offices["o1"].standing is ev.Standing.DRAINING
+    assert bench.switch.counts["lists_skipped"] == 1
+
+
+def test_a_malformed_list_leaves_the_last_good_one(bench: Bench) -> None:
+    bench.told("gone", "sleeping", "gone", revision=5)
+    assert bench.switch.offices["o0"].standing is ev.Standing.READY and bench.switch.revision == 1
+
+
+def test_full_groups_and_a_dead_own_office_are_told_as_not_sent() -> None:
+    bench = Bench(size=1)
+    bench.switch.group_told("o0", frames.GroupState(2, 0, 0), 0)  # no way over the other
+    bench.run(SECOND)
+    bench.dial(id=1)
+    bench.call(id=2)
+    assert bench.finals == ["pushed_back"] and len(bench.of(frames.Setup)) == 1
+    alone = Bench()
+    alone.switch.office_down("o0", "test", 0)
+    alone.call()
+    assert alone.finals == ["pushed_back"] and alone.switch.counts["blame.processor_full"] >= 1
+
+
+def test_a_lost_link_resets_its_dials_and_cuts_what_stood(bench: Bench) -> None:
+    bench.stand()
+    bench.dial(id=2)
+    bench.switch.office_down("o1", "test", bench.out.now)
+    assert bench.of(frames.Ended) == [frames.Ended(1)] and bench.free() == 8
+    bench.run(WAIT)
+    assert bench.free() == 10
+
+
+def test_what_the_own_processor_had_in_hand_is_lost_with_it(bench: Bench) -> None:
+    setup = bench.dial()
+    bench.call(id=2)
+    bench.switch.office_down("o0", "test", bench.out.now)
+    assert frames.Cancel(setup.ref) in bench.of(frames.Cancel)
+    bench.run(3 * SECOND)
+    assert sorted(bench.finals) == ["pushed_back", "pushed_back"] and bench.free() == 10
+
+
+def test_a_dialogue_in_transit_is_handed_on_or_turned_back(bench: Bench) -> None:
+    setup = frames.Setup(9, 2, 77, 0, "cheap", 1, "aa", 2 * SECOND, 1)
+    bench.switch.transit("o0", setup, 0)
+    bench.pass_own()
+    onward = bench.of(frames.Setup)[-1]
+    assert (onward.origin, onward.dialogue, onward.destination) == (2, 77, 1)
+    bench.switch.pushed_back("o1", frames.PushBack(onward.ref, "processor_full"), 0)
+    assert ("o0", frames.PushBack(9, "far_processor_full")) in bench.out.sent
+
+
+def test_a_transit_called_off_upstream_is_called_off_onward(bench: Bench) -> None:
+    bench.switch.transit("o0", frames.Setup(9, 2, 77, 0, "cheap", 1, None, 2 * SECOND, 1), 0)
+    bench.pass_own()
+    onward = bench.of(frames.Setup)[-1]
+    bench.switch.transit_over("o0", 9, 0)
+    assert ("o1", frames.Cancel(onward.ref)) in bench.out.sent
+    assert ("o0", frames.Released(9)) in bench.out.sent and not bench.switch.taken
+
+
+@pytest.mark.parametrize(
+    "kind", [ev.Arrived, ev.Stood, ev.DialEnded, ev.WentAway, ev.Rang, ev.Reported, ev.Listed]
+)
+def test_a_decision_that_raises_costs_one_dialogue_its_chance_and_nobody_an_answer(
+    bench: Bench, kind: type, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    real = switch_module.decide
+    armed = [True]
+
+    def faulty(x: Any, event: Any, now: int) -> Any:
+        if armed[0] and isinstance(event, kind):
+            armed[0] = False
+            raise ZeroDivisionError("broken on purpose")
+        return real(x, event, now)
+
+    monkeypatch.setattr(switch_module, "decide", faulty)
+    setup = bench.dial() if kind is not ev.Arrived else None
+    if kind is ev.Arrived:
+        bench.call()
+    elif kind is ev.Stood:
+        bench.switch.answered("o1", frames.Answer(setup.ref), 0)
+        bench.pass_own()
+    elif kind is ev.DialEnded:
+        bench.switch.pushed_back("o1", frames.PushBack(setup.ref, "fault"), 0)
+    elif kind is ev.WentAway:
+        bench.switch.leave("link", 1, 0)
+    elif kind is ev.Listed:
+        bench.told("ready", "ready", "ready", revision=2)
+    bench.run(4 * SECOND)
+    assert bench.switch.counts["decision_faults"] == 1 and "decision_fault" in bench.out.said
+    assert len(bench.finals) == (0 if kind is ev.WentAway else 1)
+    bench.call(id=2)
+    bench.pass_own()
+    assert len(bench.of(frames.Setup)) == (1 if kind is ev.Arrived else 2)  # the next one goes
+    assert any(one.due > bench.out.now for one in bench.out.timers if not one.cancelled)
+
+
+def test_calls_beyond_the_limits_are_turned_away_before_they_are_taken() -> None:
+    bench = Bench(max_open=1)
+    bench.call(id=1)
+    bench.call(id=2)
+    bench.switch.call("link", frames.Call(3, "unheard-of", 1, None, SECOND), 0)
+    bench.switch.call("link", frames.Call(4, "cheap", 1, None, 0), 0)
+    assert bench.finals == ["pushed_back"] * 3 and len(bench.switch.taken) == 1
+
+
+def test_twenty_thousand_dialogues_are_held_and_all_answered() -> None:
+    bench = Bench(size=100_000, max_open=20_000)
+    for id in range(20_100):
+        bench.call(id=id)
+    assert len(bench.switch.taken) == 20_000 and len(bench.finals) == 100
+    bench.run(4 * SECOND)
+    assert len(bench.finals) == 20_100 and not bench.switch.taken and bench.free() == 100_000
+
+
+def test_stopping_takes_nothing_more_and_tells_what_is_owed(bench: Bench) -> None:
+    bench.dial()
+    assert bench.switch.stop(0) == 1
+    bench.call(id=2)
+    assert bench.finals == ["pushed_back"]
+
+
+def test_a_dial_goes_no_way_but_the_tables() -> None:
+    assert set(LEGAL) == set(Step) and LEGAL[Step.FREE] == ()
+    with pytest.raises(RuntimeError, match="FREE to OUT"):
+        DialOut(Taken(1, "", 0, None, 1, 0, 0), 0, None, None, 0, 0, Step.FREE).move(Step.OUT)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_trunk.py
@@ -0,0 +1,146 @@
+"""The trunk protocol without sockets: codec, link, circuits, redial."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wellhitch.trunk import codec, frames
+from wellhitch.trunk.circuits import Group, disagreement
+from wellhitch.trunk.link import SILENCE, Link, LinkFault, State
+from wellhitch.trunk.redial import FIRST, LONGEST, Redial
+
+HELLO = frames.Hello("office", 3, 1)
+SOME = [
+    HELLO,
+    frames.Heartbeat(4),
+    frames.Setup(1, 0, 9, 0, "cheap", 3, "0a", 2_000_000, 1),
+    frames.Answer(1, frames.Load(wait=20)),
+    frames.PushBack(2, "processor_full", 300),
+    frames.Word(b"\x01\x00"),
+    frames.List("whole", 3, [frames.ListLine("office-1", 1, "ready", None, "127.0.0.1:1")]),
+]
+
+
+@given(st.lists(st.sampled_from(SOME), max_size=8), st.lists(st.integers(1, 40), min_size=1))
+def test_frames_survive_any_pieces(sent: list[frames.Any], cuts: list[int]) -> None:
+    data = b"".join(codec.encode(frame) for frame in sent)
+    decoder, got, at = codec.Decoder(), [], 0
+    while at < len(data):
+        size = cuts[at % len(cuts)]
+        got += decoder.feed(data[at : at + size])
+        at += size
+    assert got == sent
+    assert decoder.partial == 0
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_give_frames_or_one_error(data: bytes) -> None:
+    decoder = codec.Decoder()
+    try:
+        decoder.feed(data)
+    except codec.BadFrame:
+        assert decoder.feed(data) == []  # nothing more comes after the error
+    assert decoder.partial <= len(data)
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (b"\x02\x00\x00\x01\x90", "version 2"),
+        (b"\x01\xff\xff\xff", "length 16777215"),
+        (b"\x01\x00\x00\x01\xc1", "no frame"),
+        (b"\x01\x00\x00\x02\x91\xa0", "no frame"),
+    ],
+)
+def test_each_bad_frame_is_named_and_those_before_it_stand(data: bytes, said: str) -> None:
+    with pytest.raises(codec.BadFrame, match=said) as bad:
+        codec.Decoder().feed(codec.encode(HELLO) + data)
+    assert bad.value.before == [HELLO]
+
+
+def test_a_frame_too_long_is_never_sent() -> None:
+    with pytest.raises(codec.BadFrame, match="Word of"):
+        codec.encode(frames.Word(bytes(codec.MAX_FRAME)))
+
+
+def up() -> Link:
+    link = Link("call_server", ("office",), 0)
+    link.receive(codec.encode(HELLO), 0)
+    return link
+
+
+def test_a_link_is_up_with_its_hello() -> None:
+    link = up()
+    assert link.state is State.UP and link.peer == HELLO
+    assert link.receive(codec.encode(frames.Answer(1)), 5) == [frames.Answer(1)]
+
+
+@pytest.mark.parametrize(
+    ("sent", "said"),
+    [
+        ([frames.Answer(1)], "Answer before Hello"),
+        ([frames.Hello("centre", 0, 1)], "role 'centre' is not taken"),
+        ([HELLO, HELLO], "a second Hello"),
+        ([HELLO, frames.Call(1, "cheap", 2, None, 10)], "Call is not for a office to say"),
+    ],
+)
+def test_what_is_out_of_order_closes_the_link_with_one_error(sent: list[frames.Any], said: str) -> None:
+    link = Link("call_server", ("office",), 0)
+    with pytest.raises(LinkFault, match=said) as fault:
+        link.receive(b"".join(codec.encode(frame) for frame in sent), 0)
+    assert fault.value.tell and fault.value.before == sent[:-1]
+    assert link.receive(codec.encode(HELLO), 0) == []
+
+
+def test_a_told_fault_is_not_answered_with_another() -> None:
+    with pytest.raises(LinkFault) as fault:
+        up().receive(codec.encode(frames.Fault("why")), 0)
+    assert not fault.value.tell
+
+
+def test_silence_is_found_after_its_limit_and_not_before() -> None:
+    link = up()
+    assert not link.silent(SILENCE)
+    assert link.silent(SILENCE + 1)
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 5), st.integers(1, 3), st.booleans()), max_size=60), st.integers(0, 8)
+)
+def test_circuits_are_held_once_and_all_come_back(steps: list[tuple[int, int, bool]], size: int) -> None:
+    group, held = Group(size), {}
+    for holder, width, seize in steps:
+        if seize:
+            if group.seize(holder, width):
+                assert holder not in held
+                held[holder] = width
+        else:
+            assert group.free_up(holder) == (held.pop(holder, None) is not None)
+        assert group.ours_count == sum(held.values()) <= size
+        assert group.free == size - group.ours_count
+    for holder in list(held):
+        group.free_up(holder)
+    assert group.free == size
+
+
+def test_the_other_sides_circuits_are_not_free_and_never_below_nought() -> None:
+    group = Group(4, theirs_count=3)
+    assert group.seize("a", 1) and not group.seize("b", 1)
+    group.theirs_count = 4  # glare: both seized the last
+    assert group.free == 0
+
+
+def test_counts_may_differ_for_a_while_and_no_longer() -> None:
+    since, say = disagreement(1, 0, None, 100, 50)
+    assert (since, say) == (100, False)
+    assert disagreement(1, 0, since, 151, 50) == (100, True)
+    assert disagreement(1, 1, since, 151, 50) == (None, False)
+
+
+def test_redials_double_to_a_limit_and_spread() -> None:
+    waits = [[redial.wait() for _ in range(12)] for redial in (Redial(random.Random(n)) for n in range(40))]
+    assert all(wait <= FIRST << at and wait <= LONGEST for one in waits for at, wait in enumerate(one))
+    last = sorted(one[-1] for one in waits)
+    assert last[-1] - last[0] > LONGEST // 2  # not all at once
--- a/wellhitch/emulator/party.py
+++ b/wellhitch/emulator/party.py
@@ -7,10 +7,12 @@
 
 
 class PartyLoop:
-    """The part of an asyncio loop that the server code uses, with a gate in it."""
+    """The part of an asyncio loop that the server code uses, with a gate in it. `ahead`: seconds that this
+    party's clock is ahead of the others'."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, ahead: float = 0.0) -> None:
         self._loop = loop
+        self._ahead = ahead
         self.paused = False
         self.gone = False
         self._io: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
@@ -22,7 +24,7 @@
 
     def time(self) -> float:
         """As asyncio's."""
-        return self._loop.time()
+        return self._loop.time() + self._ahead
 
     def call_soon(self, callback: Callable[..., object], *args: Any) -> "_Handle":
         """As asyncio's."""
--- a/wellhitch/judge/rules.py
+++ b/wellhitch/judge/rules.py
@@ -1,7 +1,7 @@
 """Settles the five rules from captures. Pure: captures in, a verdict out. Times are whole microseconds.
 
 Evidence and its limits. The parties of one day share one clock. A frame is on the way for `way` us at most (told
-with the captures), so that what two parties saw may be apart by so much; each rule says how it allows for that.
+with the captures), and two ways differ by `spread` at most; each rule says how it allows for that.
 What happened to a call server's process (killed, paused) is told by the day's own capture, `world`.
 """
 
@@ -41,6 +41,7 @@
     cold_multiple: float
     cold_window: int
     way: int
+    spread: int
 
 
 COLD_SLACK = 2.0  # set-ups beyond the budget that chance alone may bring together at once
@@ -253,6 +254,9 @@
 # ---- rules 2 and 5 ----
 
 
+HALF_OPEN = 1_500_000  # us; a link silent for one heartbeat and half another before its end
+
+
 @dataclass(slots=True)
 class _Dial:
     """One dial as its office saw it: `gone` when the sender can no longer take it for out."""
@@ -272,8 +276,14 @@
     for line in capture.lines:
         if isinstance(line, Note):
             if line.what == "down":
+                heard = line.facts.get("heard", line.t)
+                half_open = line.t - heard > HALF_OPEN
                 for key in [key for key in out if key[0] == line.facts["link"]]:
-                    _gone(out.pop(key), line.t, "reset")
+                    # A half-open link was lost to its sender at a time that this end cannot know, and no
+                    # sooner than it was last heard here.
+                    _gone(
+                        out.pop(key), max(heard, 0) if half_open else line.t, "lost" if half_open else "reset"
+                    )
             continue
         frame = line.frame
         key = (line.link, getattr(frame, "ref", -1))
@@ -296,7 +306,7 @@
 def _dials(offices: list[Capture], figures: Figures, verdict: Verdict) -> None:
     """Rule 2: of one dialogue, no dial reaches an office while an earlier one of the same sender is out.
     Rule 5: none within the release wait of one that was called off or reset. The sender's ways to two offices
-    differ by the longest way at most, and so much is allowed."""
+    differ by `spread` at most, and so much is allowed."""
     dialled: dict[tuple[int, int, int], list[_Dial]] = defaultdict(list)
     for capture in offices:
         for whose, dial in _office_dials(capture):
@@ -306,7 +316,7 @@
         verdict.seen["dials"] += len(dials)
         name = f"dialogue {origin}.{dialogue}"
         for before, after in zip(dials, dials[1:], strict=False):
-            if before.gone is None or before.gone > after.t + figures.way:
+            if before.gone is None or before.gone > after.t + figures.spread:
                 text = (
                     f"{name}: dial {after.number} at {after.office} while {before.number}"
                     f" at {before.office} is out"
@@ -314,7 +324,7 @@
                 verdict.breaks.append(Break(2, after.t, sender, text))
             elif before.how in ("called off", "reset"):
                 waited = after.t - before.gone
-                if waited < figures.release_wait - figures.way:
+                if waited < figures.release_wait - figures.spread:
                     text = (
                         f"{name}: dial {after.number} at {after.office} {waited} us after {before.number} at"
                         f" {before.office} was {before.how}; the wait is {figures.release_wait}"
--- a/wellhitch/lab/fleet.py
+++ b/wellhitch/lab/fleet.py
@@ -16,8 +16,10 @@
 
 from wellhitch.emulator.network import EmulatedNetwork
 from wellhitch.emulator.party import PartyLoop
+from wellhitch.interface.events import Opened
 from wellhitch.net.seam import LoopbackNetwork
 from wellhitch.server.daemon import Daemon, Doors, Log
+from wellhitch.server.switch import Outlet, Switch
 from wellhitch.settings.day import Day
 from wellhitch.settings.sheet import DoorLine, Sheet, UseCaseLine, opened, span
 from wellhitch.stand_ins.troubles import CannotPlay
@@ -114,6 +116,8 @@
     daemons: dict[int, Daemon] = field(default_factory=dict)
     boots: dict[int, int] = field(default_factory=dict)
     parties: dict[int, PartyLoop] = field(default_factory=dict)
+    make_switch: Callable[[Opened, int, Outlet], Switch] = Switch
+    clocks: dict[int, float] = field(default_factory=dict)  # seconds that a call server's clock is ahead
 
     def start(self, number: int) -> None:
         """As `Servers`."""
@@ -122,11 +126,20 @@
         host = f"server-{number}"
         loop = self.loop
         if self.net is not None:
-            party = self.parties[number] = self.net.gates[host] = PartyLoop(self.loop)
+            party = self.parties[number] = self.net.gates[host] = PartyLoop(
+                self.loop, self.clocks.get(number, 0.0)
+            )
             loop = party.as_loop()
         network = self.net.at(host) if self.net is not None else LoopbackNetwork(self.loop)
         daemon = self.daemons[number] = Daemon(
-            loop, network, opened(sheet), doors_of(sheet), sheet.limits.max_open, boot, self.log(number)
+            loop,
+            network,
+            opened(sheet),
+            doors_of(sheet),
+            sheet.limits.max_open,
+            boot,
+            self.log(number),
+            self.make_switch,
         )
         daemon.start()
 
--- a/wellhitch/lab/play.py
+++ b/wellhitch/lab/play.py
@@ -110,8 +110,8 @@
 
 
 class _SocketTown(Town):
-    def longest_way(self) -> int:
-        return LOOPBACK_WAY
+    def ways(self) -> tuple[int, int]:
+        return LOOPBACK_WAY, LOOPBACK_WAY
 
 
 def _run(
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -11,7 +11,7 @@
 from wellhitch.interface import events as ev
 from wellhitch.net.seam import Listener, Network, now_us
 from wellhitch.server.metrics import exposition
-from wellhitch.server.switch import Switch
+from wellhitch.server.switch import Outlet, Switch
 from wellhitch.trunk import frames
 from wellhitch.trunk.port import KeptLink, Port
 
@@ -48,10 +48,11 @@
         max_open: int,
         boot: int,
         log: Log,
+        make_switch: Callable[[ev.Opened, int, Outlet], Switch] = Switch,
     ) -> None:
         self.loop, self.network, self.doors, self.write_log = loop, network, doors, log
         self.chance = random.Random(opened.seed ^ boot)
-        self.switch = Switch(opened, max_open, self)
+        self.switch = make_switch(opened, max_open, self)
         self.hello = frames.Hello("call_server", self.switch.number, boot)
         self.callers = _Callers(self)
         self.peers_in = _Peers(self)
@@ -163,10 +164,15 @@
         port = self._office_port(office)
         return port.withdraw(which) if port else []
 
-    def stuck(self, office: str) -> bool:
+    def mark(self, office: str) -> int:
         """As `Outlet`."""
         port = self._office_port(office)
-        return bool(port and port.stuck)
+        return port.mark() if port else 0
+
+    def marked(self, office: str, n: int) -> bool:
+        """As `Outlet`."""
+        port = self._office_port(office)
+        return port is None or port.marked(n)
 
     def reset(self, office: str, why: str) -> None:
         """As `Outlet`."""
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -50,8 +50,11 @@
     def withdraw(self, office: str, which: Callable[[frames.Any], bool]) -> list[frames.Any]:
         """Take back frames to an office that wait here."""
 
-    def stuck(self, office: str) -> bool:
-        """Whether frames were handed out that the office does not read."""
+    def mark(self, office: str) -> int:
+        """Ask how far the office has read."""
+
+    def marked(self, office: str, n: int) -> bool:
+        """Whether it has read all that was sent before the mark."""
 
     def reset(self, office: str, why: str) -> None:
         """Break the link to an office; link_down follows."""
@@ -398,7 +401,8 @@
         """End a dial from this end. Where it was sent, the circuits stay taken until the far end confirms or
         the release wait is over; a set-up still waiting here is taken back instead."""
         self._stop_timer(dial)
-        dial.home.passing.pop(dial.home_ref, None)
+        if dial.home.passing.pop(dial.home_ref, None) is not None:
+            self.outlet.to_office(dial.home.id, frames.Drop(dial.home_ref))
         if dial.step is Step.PASSING:
             dial.move(Step.FREE)
             self._free(dial)
@@ -709,8 +713,9 @@
                 self._take_back(end, now)
 
     def _take_back(self, end: OfficeEnd, now: int) -> None:
-        """Guards rule 3: set-ups that wait here for an office that drains are taken back, and where it has
-        stopped reading, so that more of them may lie on the way, its link is reset."""
+        """Guards rule 3: set-ups that wait here for an office that drains are taken back. Those that the link
+        has taken may still lie unread, in buffers that are not ours: unless the office tells within the grace
+        that it has read them, its link is reset, and nothing reaches it later."""
         back = self.outlet.withdraw(end.id, lambda frame: isinstance(frame, frames.Setup))
         for frame in back:
             dial = end.dials.pop(getattr(frame, "ref", 0), None)
@@ -718,8 +723,16 @@
                 self.counts["kept_back.drained"] += 1
                 self._stop_timer(dial)
                 self._not_sent(dial, ev.Ending.NOT_SENT, ev.Blame.NONE, now)
-        if self.outlet.stuck(end.id):
-            self.outlet.reset(end.id, "drains and reads nothing")
+        if not end.up:
+            return
+        n, grace = self.outlet.mark(end.id), self.opened.release.drain_grace
+
+        def look(at: int) -> None:
+            if end.up and end.standing is not ev.Standing.READY and not self.outlet.marked(end.id, n):
+                self.counts["resets_of_drained"] += 1
+                self.outlet.reset(end.id, "drains and does not read")
+
+        self.outlet.timer(grace * 6 // 10, look)  # the reset is there within the grace
 
     # ---- others ----
 
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -5,7 +5,16 @@
 import msgspec
 
 from wellhitch.settings.checked import Faults
-from wellhitch.settings.sheet import Count, LimitLine, RuleLine, Share, Span, UseCaseLine, span
+from wellhitch.settings.sheet import (
+    Count,
+    LimitLine,
+    RuleLine,
+    Share,
+    Span,
+    UseCaseLine,
+    span,
+    use_case_faults,
+)
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
@@ -145,8 +154,7 @@
     known = set(numbers)
     if not numbers:
         lines.append("exchanges = []: one at least")
-    if not day.use_cases:
-        lines.append("use_cases = []: one at least")
+    lines += use_case_faults(day.use_cases)
     lines += [f"exchanges: number {n} stands twice" for n in sorted(known) if numbers.count(n) > 1]
     for at, one in enumerate(day.exchanges):
         if span(one.setup) <= 0:
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -1,6 +1,7 @@
 """The sheet of one call server: what `wellhitch serve` reads. Times are whole microseconds once read."""
 
 import re
+from collections.abc import Sequence
 from typing import Annotated
 
 import msgspec
@@ -88,16 +89,7 @@
 
 def check(sheet: Sheet, where: str) -> None:
     """What holds between fields. Raises Faults."""
-    lines = []
-    if not sheet.use_cases:
-        lines.append("use_cases = []: one at least")
-    names = [use.name for use in sheet.use_cases]
-    lines += [f"use_cases = {name!r}: named twice" for name in sorted(set(names)) if names.count(name) > 1]
-    for at, use in enumerate(sheet.use_cases):
-        if span(use.agreed_time) > span(use.outer_limit):
-            lines.append(
-                f"use_cases[{at}].agreed_time = {use.agreed_time!r}: over the outer limit {use.outer_limit!r}"
-            )
+    lines = use_case_faults(sheet.use_cases)
     for name in ("callers", "register", "peers", "operators", "centre"):
         address = getattr(sheet.doors, name)
         if not address:
@@ -115,6 +107,22 @@
         raise Faults(where, lines)
 
 
+def use_case_faults(uses: Sequence[UseCaseLine]) -> list[str]:
+    """What is wrong with a list of use cases, beyond each field alone."""
+    lines = [] if uses else ["use_cases = []: one at least"]
+    names = [use.name for use in uses]
+    lines += [f"use_cases = {name!r}: named twice" for name in sorted(set(names)) if names.count(name) > 1]
+    for at, use in enumerate(uses):
+        if span(use.agreed_time) < 1000:
+            # The decisions take a quarter of the shortest one as the bound of a delay, and divide by it.
+            lines.append(f"use_cases[{at}].agreed_time = {use.agreed_time!r}: 1ms at least")
+        if span(use.agreed_time) > span(use.outer_limit):
+            lines.append(
+                f"use_cases[{at}].agreed_time = {use.agreed_time!r}: over the outer limit {use.outer_limit!r}"
+            )
+    return lines
+
+
 def opened(sheet: Sheet) -> events.Opened:
     """The start facts that the decisions are told."""
     limits, rules = sheet.limits, sheet.rules
--- a/wellhitch/stand_ins/callers.py
+++ b/wellhitch/stand_ins/callers.py
@@ -26,8 +26,8 @@
     doubles: bool = False
     heeds: float = 0.8
     marks_redials: bool = False
-    short_share: float = 0.0  # trouble: so many callers ...
-    short_to: float = 1.0  # ... wait for this share of their usual patience
+    short: list[tuple[float, float]] = field(default_factory=list)  # troubles: so many callers wait for this
+    # share of their usual patience, and do not try again
     impatient: float = 0.0  # so many hang up at a chance time before their patience is over
 
 
@@ -57,6 +57,7 @@
     began: int
     tries: int = 0
     heeds: bool = False
+    once: bool = False
     id: int = 0
     timer: asyncio.TimerHandle | None = None
     stood: bool = False
@@ -168,8 +169,10 @@
         case.tries += 1
         use = case.use_case
         patience = self.habits.patience
-        if self.habits.short_share and self.chance.random() < self.habits.short_share:
-            patience *= self.habits.short_to
+        for share, to in self.habits.short:
+            if self.chance.random() < share:
+                patience *= to
+                case.once = True
         # The outer limit runs from the first try.
         left = min(int(use.outer_limit * patience), case.began + use.outer_limit - self.now())
         if left <= 0:
@@ -209,7 +212,7 @@
         if case.timer:
             case.timer.cancel()
         self.cases.pop(case.id, None)
-        if case.tries > self.habits.retries:
+        if case.once or case.tries > self.habits.retries:
             self._done(case, "unserved")
             return
         pause = self.habits.pause * (2 ** (case.tries - 1) if self.habits.doubles else 1)
--- a/wellhitch/stand_ins/office.py
+++ b/wellhitch/stand_ins/office.py
@@ -85,6 +85,7 @@
         self.ills = Ills()
         self.ports: dict[Port, dict[int, Leg]] = {}
         self.transits: dict[int, Leg] = {}
+        self.passing: dict[tuple[Port, int], Job] = {}
         self.counts: Counter[str] = Counter()
         self.listener: Listener | None = None
         self.address = address
@@ -166,6 +167,8 @@
         legs = self.ports.pop(port, None)
         if legs is None:
             return  # lost before, when a newer link of the same call server came
+        for key in [key for key in self.passing if key[0] is port]:
+            del self.passing[key]
         for leg in list(legs.values()):
             if leg.onward:
                 self._onward(frames.Cancel(leg.onward))
@@ -188,6 +191,10 @@
                 self._given_up(port, ref, isinstance(frame, frames.Release))
             case frames.Pass():
                 self._pass(port, frame)
+            case frames.Drop(ref):
+                job = self.passing.pop((port, ref), None)
+                if job and self.cancel_drops:
+                    self.processor.drop(job)
             case frames.GroupState():
                 if port.peer.number == self.trunks.number and frame.number in self.trunks.groups:
                     self.trunks.groups[frame.number].theirs_count = max(0, frame.held)
@@ -431,10 +438,16 @@
         cost = {"setup": 1.0, "look": self.work.look, "word": self.work.word}.get(what, self.work.follow)
         ahead = what in ("answer", "release")
         if what in ("setup", "answer"):
-            self.processor.submit(cost, lambda: self._send(port, frames.Passed(ref, what)), ahead)
+            self.passing[port, ref] = self.processor.submit(
+                cost, lambda: self._passed(port, ref, what), ahead
+            )
         else:
             self.processor.submit(cost, lambda: None, ahead)
 
+    def _passed(self, port: Port, ref: int, what: str) -> None:
+        if self.passing.pop((port, ref), None):
+            self._send(port, frames.Passed(ref, what))
+
     def _changed(self, number: int) -> None:
         self._untold.add(number)
         self._tell_soon()
--- a/wellhitch/stand_ins/processor.py
+++ b/wellhitch/stand_ins/processor.py
@@ -39,6 +39,7 @@
     work: float
     done: Callable[[], None]
     dropped: bool = False
+    begun: bool = False
 
 
 class Processor:
@@ -97,20 +98,22 @@
         return job
 
     def drop(self, job: Job) -> None:
-        """Forget a job that has not begun."""
-        if not job.dropped and job in self._line:
-            self._line.remove(job)
+        """Forget a job that has not begun: it leaves the line when its turn comes, at no cost."""
+        if not job.dropped and not job.begun:
+            job.dropped = True
             self._work_waiting -= job.work
-        job.dropped = True
 
     def _next(self) -> None:
         if self._running or self.hung or self.dead:
             return
-        line = self._ahead or self._line
-        if not line:
-            self._work_waiting = 0.0
-            return
-        job = line.popleft()
+        job = None
+        while job is None or job.dropped:
+            line = self._ahead or self._line
+            if not line:
+                self._work_waiting = 0.0
+                return
+            job = line.popleft()
+        job.begun = True
         self._work_waiting -= job.work
         now = now_us(self.loop)
         took = job.work * self.unit_us(now)
--- a/wellhitch/stand_ins/town.py
+++ b/wellhitch/stand_ins/town.py
@@ -81,7 +81,8 @@
             release_wait=span(day.rules.release_wait),
             cold_multiple=day.rules.cold_multiple,
             cold_window=span(day.rules.cold_window),
-            way=self.longest_way(),
+            way=self.ways()[0],
+            spread=self.ways()[1],
             day=day.name,
             seed=day.seed,
             use_cases=[
@@ -132,11 +133,15 @@
                 1,
             )
 
-    def longest_way(self) -> int:
-        """One way at the longest, us. On real sockets the figures of the day's net do not act, and a way is
-        what a busy loop takes; the runner states it there."""
+    def ways(self) -> tuple[int, int]:
+        """One way at the longest, and by how much two ways from one call server to offices differ, us. On
+        real sockets the figures of the day's net do not act, and a way is what a busy loop takes; the runner
+        states it there."""
         net = self.day.net
-        return int(max(span(net.same), span(net.cross), span(net.here)) * (1 + net.jitter)) + 1
+        zones = {one.zone for one in self.day.exchanges}
+        ways = [span(net.same), *([span(net.cross)] if len(zones) > 1 else [])]
+        longest = int(max(ways) * (1 + net.jitter)) + 1
+        return max(longest, span(net.here)), longest - min(ways)
 
     def now(self) -> int:
         """Time in us."""
--- a/wellhitch/stand_ins/troubles.py
+++ b/wellhitch/stand_ins/troubles.py
@@ -226,13 +226,14 @@
 
 
 def give_up(town: Town, t: TroubleLine) -> Undo:
-    """`size` of the callers wait for but `extra` of their usual patience."""
+    """`size` of the callers wait for but `extra` of their usual patience, and do not try again."""
+    short = (min(1.0, t.size), t.extra or 0.5)
     for callers in town.callers.values():
-        callers.habits.short_share, callers.habits.short_to = min(1.0, t.size), t.extra or 0.5
+        callers.habits.short.append(short)
 
     def undo() -> None:
         for callers in town.callers.values():
-            callers.habits.short_share = 0.0
+            callers.habits.short.remove(short)
 
     return undo
 
--- a/wellhitch/trunk/capture.py
+++ b/wellhitch/trunk/capture.py
@@ -83,7 +83,9 @@
 
     def tap(self, way: str, port: Port, frame: frames.Any) -> None:
         """Note a frame. Heartbeats and loads tell nothing that is judged and are left out."""
-        if isinstance(frame, (frames.Heartbeat, frames.GroupState, frames.Advice)):
+        if isinstance(
+            frame, (frames.Heartbeat, frames.Mark, frames.Marked, frames.GroupState, frames.Advice)
+        ):
             return
         peer = port.link.peer
         shown = self._encoder.encode(frame)
@@ -101,7 +103,7 @@
         """Note that a link is gone; its number is not used again."""
         peer = port.link.peer
         number, role = (peer.number, peer.role) if peer else (-1, "")
-        self.note("down", link=self._link(port), number=number, role=role)
+        self.note("down", link=self._link(port), number=number, role=role, heard=port.link.heard_at)
         self._links.pop(id(port), None)
 
     def note(self, what: str, **facts: Any) -> None:
--- a/wellhitch/trunk/frames.py
+++ b/wellhitch/trunk/frames.py
@@ -35,6 +35,18 @@
     held: int = 0
 
 
+class Mark(Frame, frozen=True):
+    """Either end: say Marked(n) once you have read this far. All that was sent before it has been read then."""
+
+    n: int
+
+
+class Marked(Frame, frozen=True):
+    """The answer to Mark(n)."""
+
+    n: int
+
+
 class Fault(Frame, frozen=True):
     """The one error before the sender closes the link."""
 
@@ -103,6 +115,12 @@
     taken: bool = True
 
 
+class Drop(Frame, frozen=True):
+    """Call server to its own office: the step of this ref is not needed any more."""
+
+    ref: int
+
+
 class Answer(Frame, frozen=True):
     """The set-up was answered; the dialogue stands."""
 
@@ -197,8 +215,8 @@
 
 
 Any = (
-    Hello | Heartbeat | Fault | Call | Final | Leave | Ended | Setup | Pass | Passed | Answer | PushBack | Cancel
-    | Release | Released | Cut | GroupState | Probe | LoadReport | Word | List | Advice
+    Hello | Heartbeat | Mark | Marked | Fault | Call | Final | Leave | Ended | Setup | Pass | Passed | Drop | Answer
+    | PushBack | Cancel | Release | Released | Cut | GroupState | Probe | LoadReport | Word | List | Advice
 )  # fmt: skip
 
 REASONS = (
--- a/wellhitch/trunk/link.py
+++ b/wellhitch/trunk/link.py
@@ -10,14 +10,21 @@
 HEARTBEAT = 1_000_000  # us; one small frame a second and link is nothing, and three missed ones are no chance
 SILENCE = 3_500_000  # us without a byte: three heartbeats and half another for a busy loop
 
-_ALWAYS = (frames.Hello, frames.Heartbeat, frames.Fault)
+_ALWAYS = (frames.Hello, frames.Heartbeat, frames.Mark, frames.Marked, frames.Fault)
 _DIALS = (frames.Setup, frames.Cancel, frames.Release)
 _REPLIES = (frames.Answer, frames.PushBack, frames.Cut, frames.Released)
 
 MAY_SAY: dict[tuple[str, str], tuple[type, ...]] = {
     ("caller", "call_server"): (frames.Call, frames.Leave),
     ("call_server", "caller"): (frames.Final, frames.Ended),
-    ("call_server", "office"): (*_DIALS, *_REPLIES, frames.Pass, frames.GroupState, frames.Probe),
+    ("call_server", "office"): (
+        *_DIALS,
+        *_REPLIES,
+        frames.Pass,
+        frames.Drop,
+        frames.GroupState,
+        frames.Probe,
+    ),
     ("office", "call_server"): (*_DIALS, *_REPLIES, frames.Passed, frames.GroupState, frames.LoadReport),
     ("call_server", "call_server"): (frames.Word,),
     ("register", "call_server"): (frames.List,),
@@ -25,7 +32,7 @@
     ("centre", "call_server"): (frames.Advice,),
     ("call_server", "centre"): (),
 }
-"""Who may send what to whom, beyond Hello, Heartbeat and Fault."""
+"""Who may send what to whom, beyond Hello, Heartbeat, Mark, Marked and Fault."""
 
 
 class LinkFault(Exception):
--- a/wellhitch/trunk/port.py
+++ b/wellhitch/trunk/port.py
@@ -62,6 +62,8 @@
         self._second = 0
         self._in_second = 0
         self._told_up = False
+        self._marks = 0
+        self._marked = 0
 
     @property
     def peer(self) -> frames.Hello:
@@ -85,6 +87,16 @@
             self.loop.call_soon(self._flush)
         return True
 
+    def mark(self) -> int:
+        """Ask how far the other end has read; `marked` tells when it has read all that was sent by now."""
+        self._marks += 1
+        self.send(frames.Mark(self._marks))
+        return self._marks
+
+    def marked(self, n: int) -> bool:
+        """Whether the other end has answered the mark."""
+        return self._marked >= n
+
     def withdraw(self, which: Callable[[frames.Any], bool]) -> list[frames.Any]:
         """Take back frames that were not handed to the transport yet."""
         taken = [frame for frame in self._outbox if which(frame)]
@@ -157,6 +169,10 @@
             if isinstance(frame, frames.Hello):
                 self._told_up = True
                 self.owner.link_up(self)
+            elif isinstance(frame, frames.Mark):
+                self.send(frames.Marked(frame.n))
+            elif isinstance(frame, frames.Marked):
+                self._marked = max(self._marked, min(frame.n, self._marks))
             else:
                 self.owner.link_frame(self, frame)
         if fault:
