--- /dev/null
+++ b/deploy/fleet/exchange-3.jsonnet
@@ -0,0 +1,1 @@
+(import 'exchange.libsonnet')(3)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -90,6 +90,13 @@
     return sum(wait == 0 for wait in loads)
 
 
+TOLD = {"limits": {"may_tell_peers": True}}
+
+
+def words_missed(done: Played) -> int:
+    return -tell("event.PeerSaid")(done)
+
+
 def downs(done: Played) -> int:
     return len(notes_of(done, "down", "office"))
 
@@ -129,6 +136,9 @@
     "mid_frame_reset": ({"on": [1]}, downs, {}),
     "garbage": ({"on": [1]}, downs, {}),
     "answer_twice": ({"size": 0.5}, told_twice, {}),
+    "answer_reordered": ({"size": 0.5}, count("answers_reordered"), {}),
+    "words_lost": ({"length": "6s"}, words_missed, TOLD),
+    "words_late": ({"size": 30, "length": "8s"}, words_missed, TOLD),
     "answer_after_release": ({}, told_twice, {}),
     "list_goes_back": ({}, old_lists, {"with": [trouble("deploy", at="3s", on=[0, 1], size=0.34, extra=1)]}),
     "register_restart": ({"size": 2}, lambda done: len(notes_of(done, "down", "register")), {}),
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -231,6 +231,13 @@
     assert bench.out.resets == resets
 
 
+def test_offices_that_are_gone_are_forgotten(bench: Bench) -> None:
+    for revision in range(2, 50):
+        lines = [frames.ListLine(f"o1.{revision}", 1, "ready", 0, "x:1")]
+        bench.switch.listed(frames.List("whole", revision, lines), 0)
+    assert list(bench.switch.offices) == ["o1.49"]
+
+
 def test_a_list_that_goes_back_is_skipped(bench: Bench) -> None:
     bench.told("ready", "draining", "ready", revision=5)
     bench.told("ready", "ready", "ready", revision=4)
--- a/wellhitch/cli/day.py
+++ b/wellhitch/cli/day.py
@@ -27,14 +27,19 @@
 @day.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--virtual", is_flag=True, help="in virtual time: as fast as it goes, the same on every run")
+@click.option(
+    "--speed", type=click.FloatRange(0, min_open=True), help="of virtual time: so many times a clock's"
+)
 @click.option("--processes", is_flag=True, help="each call server in a process of its own")
 @click.option("--capture", type=click.Path(path_type=Path), help="folder to keep captures in")
-def play(file: Path, virtual: bool, processes: bool, capture: Path | None) -> None:
+def play(file: Path, virtual: bool, speed: float | None, processes: bool, capture: Path | None) -> None:
     """Play the day FILE on loopback sockets and judge it. Exit code 0 only if all five rules were kept.
 
     \b
     Example: wellhitch day play days/bad.jsonnet --processes --capture /tmp/bad-day
     """
+    if speed and not virtual:
+        raise click.UsageError("--speed needs --virtual: real sockets keep real time")
     if virtual and processes:
         raise click.UsageError("--virtual runs in one process; leave out --processes")
     with told_plainly():
@@ -52,7 +57,9 @@
             sys.exit(2)
         try:
             if virtual:
-                played = play_virtual(made, folder if capture else None, progress=progress)
+                played = play_virtual(
+                    made, folder if capture else None, progress=progress, speed=speed or 0.0
+                )
             else:
                 played = play_sockets(made, folder, processes, progress=progress)
         except CannotPlay as fault:
--- a/wellhitch/cli/measure.py
+++ b/wellhitch/cli/measure.py
@@ -43,7 +43,10 @@
                         f"  {rate:6.1f} a second, {name:11}: stood {d.stood}, not {d.others};"
                         f" median {d.median / 1000:.2f} ms, 99th {d.high / 1000:.2f} ms"
                     )
-            click.echo(f"  memory of a held dialogue: {real.held(10_000):.0f} bytes")
+            # A process of its own: one that has been busy has free memory of its own to use first.
+            fresh = Measured(offices)
+            click.echo(f"  memory of a held dialogue: {fresh.held(20_000):.0f} bytes")
+            fresh.close()
         real.close()
         relay.close()
     click.echo("the decisions alone, by their own rate, 62 offices")
--- a/wellhitch/emulator/loop.py
+++ b/wellhitch/emulator/loop.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 
@@ -14,9 +15,11 @@
 class VirtualLoop(asyncio.BaseEventLoop):
     """A loop in virtual time. The clock counts whole nanoseconds from nought."""
 
-    def __init__(self) -> None:
+    def __init__(self, wait: Callable[[float], None] | None = None) -> None:
+        """`wait`: called with the virtual seconds that would be waited; for a day that people watch."""
         super().__init__()
         self._now_ns = 0
+        self._wait = wait
         self._selector = self  # BaseEventLoop calls its select() between rounds
 
     def time(self) -> float:
@@ -30,6 +33,8 @@
         if timeout > 0:
             # Rounded up to a whole microsecond: rounded down, the timer would not be due and the loop would
             # turn on the spot.
+            if self._wait:
+                self._wait(timeout)
             self._now_ns += -(-round(timeout * 1e9) // 1000) * 1000
         return []
 
--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -18,10 +18,11 @@
 @dataclass(slots=True, eq=False)
 class Weather:
     """What is wrong between two hosts now. `silent`: bytes vanish and nobody is told (half-open).
-    `trickle`: bytes arrive one by one. `broken`: no new link comes up."""
+    `trickle`: bytes arrive one by one. `late`: us more on the way. `broken`: no new link comes up."""
 
     silent: bool = False
     trickle: bool = False
+    late: int = 0
     broken: bool = False
 
 
@@ -206,7 +207,7 @@
 
     def due(self, pipe: Pipe) -> float:
         """When bytes written now arrive: never before those written earlier."""
-        delay = self.delay(pipe.here, pipe.there) / 1e6
+        delay = (self.delay(pipe.here, pipe.there) + self.weather(pipe.here, pipe.there).late) / 1e6
         if self.jitter:
             delay *= 1 + self.jitter * self._chance.random()
         # Strictly later than what went before: the loop's timers keep no order among equal times.
--- a/wellhitch/lab/play.py
+++ b/wellhitch/lab/play.py
@@ -54,13 +54,13 @@
     def __init__(self, net: EmulatedNetwork) -> None:
         self.net = net
 
-    def cut(self, server: int, office: str) -> int:
+    def cut(self, here: str, there: str) -> int:
         """As `Wire`."""
-        return self.net.cut(f"server-{server}", office)
+        return self.net.cut(here, there)
 
-    def spoil(self, server: int, office: str, what: str, on: bool) -> None:
+    def spoil(self, here: str, there: str, what: str, how: bool | int) -> None:
         """As `Wire`."""
-        setattr(self.net.spoil(f"server-{server}", office), what, on)
+        setattr(self.net.spoil(here, there), what, how)
 
 
 def play_virtual(
@@ -68,10 +68,11 @@
     folder: Path | None = None,
     log: Callable[[int], Log] = quiet_log,
     progress: Callable[[float, int], None] | None = None,
+    speed: float = 0.0,
 ) -> Played:
-    """A day in virtual time: the same on every run."""
+    """A day in virtual time: the same on every run, as fast as it goes, or `speed` times as fast as a clock."""
     began = time.perf_counter()
-    loop = VirtualLoop()
+    loop = VirtualLoop((lambda seconds: time.sleep(seconds / speed)) if speed else None)
     try:
         net = EmulatedNetwork(loop, day.seed, zone_delay(day), day.net.jitter)
         addresses = HostAddresses()
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -687,6 +687,8 @@
         self._feed(ev.Listed(heard[frame.kind], lines), now)
         for end in list(self.offices.values()):
             self._follow_standing(end, now)
+            if end.standing is ev.Standing.GONE and not (end.dials or end.passing or end.transits):
+                del self.offices[end.id]  # replaced processors must not pile up over the weeks
 
     def _listed_line(self, line: frames.ListLine, now: int) -> None:
         standing = STANDINGS[line.standing]
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -109,7 +109,9 @@
     "slow", "hang", "answer_lost", "burst", "hot_caller", "hot_number", "give_up", "deploy", "neighbour", "shared_slow",
     "origin_slow", "report_late", "balancer_crash", "ageing", "mass_restart", "errors", "crash",
     "link_cut", "half_open", "reads_nothing", "trickle", "mid_frame_reset", "garbage", "answer_twice",
-    "answer_after_release", "list_goes_back", "register_restart", "server_paused", "server_killed",
+    "answer_after_release",
+    "answer_reordered", "words_lost", "words_late", "list_goes_back", "register_restart",
+    "server_paused", "server_killed",
 )  # fmt: skip
 """Every kind of trouble that a day may hold; docs/operate/call-server.md tells each."""
 
--- a/wellhitch/stand_ins/callers.py
+++ b/wellhitch/stand_ins/callers.py
@@ -10,8 +10,8 @@
 
 from wellhitch.interface.facts import UseCase
 from wellhitch.net.seam import Network, now_us
+from wellhitch.stand_ins.recorder import Recorder
 from wellhitch.trunk import frames
-from wellhitch.trunk.capture import Recorder
 from wellhitch.trunk.port import KeptLink, Port
 
 
--- a/wellhitch/stand_ins/office.py
+++ b/wellhitch/stand_ins/office.py
@@ -11,11 +11,12 @@
 
 from wellhitch.net.seam import Listener, Network, now_us
 from wellhitch.stand_ins.processor import ColdStart, Job, Processor, Work
+from wellhitch.stand_ins.recorder import Recorder
 from wellhitch.trunk import frames
-from wellhitch.trunk.capture import Recorder
 from wellhitch.trunk.circuits import Group
 from wellhitch.trunk.port import Port
 
+REORDER_S = 0.5  # an answer that comes out of order is so late: several others are said meanwhile
 TELL_EVERY_S = 0.05  # group counts to the call server at most so often
 
 
@@ -50,6 +51,7 @@
     lost_answers: float = 0.0
     reset_answers: float = 0.0  # in place of the answer, the dial is cut
     twice: float = 0.0  # share of answers told twice
+    reordered: float = 0.0  # share of answers that come after later ones
     after_release: bool = False  # answers again once released
     error_rate: float = 0.0
     reports_late: int = 0
@@ -336,6 +338,10 @@
         if self._answer_is_lost(leg):
             return
         said = frames.Answer(leg.setup.ref, self.load())
+        if self.ills.reordered and self.chance.random() < self.ills.reordered:
+            self.counts["answers_reordered"] += 1
+            self.loop.call_later(REORDER_S, self._say, leg, said)
+            return
         self._say(leg, said)
         if self.ills.twice and self.chance.random() < self.ills.twice:
             self._say(leg, said)
--- a/wellhitch/stand_ins/register.py
+++ b/wellhitch/stand_ins/register.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 from wellhitch.net.seam import Listener, Network, now_us
+from wellhitch.stand_ins.recorder import Recorder
 from wellhitch.trunk import frames
-from wellhitch.trunk.capture import Recorder
 from wellhitch.trunk.port import Port
 
 
--- a/wellhitch/stand_ins/town.py
+++ b/wellhitch/stand_ins/town.py
@@ -15,8 +15,8 @@
 from wellhitch.stand_ins.callers import Callers, Demand, Habits
 from wellhitch.stand_ins.office import Office, Trunks
 from wellhitch.stand_ins.processor import ColdStart, Work
+from wellhitch.stand_ins.recorder import Recorder
 from wellhitch.stand_ins.register import Centre, Register
-from wellhitch.trunk.capture import Recorder
 from wellhitch.trunk.circuits import Group
 
 
@@ -46,11 +46,11 @@
 class Wire(Protocol):
     """What can be done to the links of a day, where the network allows it."""
 
-    def cut(self, server: int, office: str) -> int:
-        """Reset the links between a call server and an office."""
+    def cut(self, here: str, there: str) -> int:
+        """Reset the links between two hosts."""
 
-    def spoil(self, server: int, office: str, what: str, on: bool) -> None:
-        """`silent`, `trickle` or `broken`, on or off."""
+    def spoil(self, here: str, there: str, what: str, how: bool | int) -> None:
+        """`silent`, `trickle` or `broken` between two hosts, on or off; `late`, by so many us."""
 
 
 @dataclass
--- a/wellhitch/stand_ins/troubles.py
+++ b/wellhitch/stand_ins/troubles.py
@@ -293,9 +293,9 @@
 # ---- links, lists, call servers ----
 
 
-def _pairs(town: Town, t: TroubleLine) -> list[tuple[int, str]]:
+def _pairs(town: Town, t: TroubleLine) -> list[tuple[str, str]]:
     return [
-        (server, town.host_of(number))
+        (f"server-{server}", town.host_of(number))
         for number in _on(town, t)
         for server in sorted(town.offices)
         if server != number
@@ -310,23 +310,42 @@
             _later(town, at * t.extra, town.wire.cut, server, office)
 
 
-def _spoil(what: str) -> Begin:
+def _spoil(
+    what: str,
+    pairs_of: Callable[[Town, TroubleLine], list[tuple[str, str]]] = _pairs,
+    how: Callable[[TroubleLine], bool | int] = lambda t: True,
+) -> Begin:
     def begin(town: Town, t: TroubleLine) -> Undo:
         wire = town.wire
         assert wire is not None
-        pairs = _pairs(town, t)
-        for server, office in pairs:
-            wire.spoil(server, office, what, True)
+        pairs = pairs_of(town, t)
+        for here, there in pairs:
+            wire.spoil(here, there, what, how(t))
 
         def undo() -> None:
-            for server, office in pairs:
-                wire.spoil(server, office, what, False)
+            for here, there in pairs:
+                wire.spoil(here, there, what, False)
 
         return undo
 
     return begin
 
 
+def _between_servers(town: Town, t: TroubleLine) -> list[tuple[str, str]]:
+    """Links over which the call servers of these exchanges tell each other words."""
+    return [
+        (f"server-{here}", f"server-{there}")
+        for here in _on(town, t)
+        for there in sorted(town.offices)
+        if here != there
+    ]
+
+
+def answer_reordered(town: Town, t: TroubleLine) -> Undo:
+    """`size` of the answers come after others that were said later."""
+    return _ill(town, t, "reordered", t.size, 0.0)
+
+
 def reads_nothing(town: Town, t: TroubleLine) -> Undo:
     """These offices stop reading."""
     struck = [town.offices[number] for number in _on(town, t)]
@@ -412,6 +431,9 @@
     "half_open": _spoil("silent"),
     "reads_nothing": reads_nothing,
     "trickle": _spoil("trickle"),
+    "words_lost": _spoil("silent", _between_servers),
+    "words_late": _spoil("late", _between_servers, lambda t: int(t.size * 1e6)),
+    "answer_reordered": answer_reordered,
     "mid_frame_reset": mid_frame_reset,
     "garbage": garbage,
     "answer_twice": answer_twice,
@@ -421,4 +443,4 @@
     "server_paused": server_paused,
     "server_killed": server_killed,
 }
-_NEED_WIRE = ("link_cut", "half_open", "trickle")
+_NEED_WIRE = ("link_cut", "half_open", "trickle", "words_lost", "words_late")
