The hooks' language: grammar, check at load, closures under a budget, containment

The users' first wish after the running program: staff write rules without a build. Which hooks may run is decided in a pure module. Not in service yet: the call server does not run hooks in this landing.

--- /dev/null
+++ b/wellhitch/hooks/host.py
@@ -0,0 +1,210 @@
+"""The hooks of one call server: a version of all files, run at each point within budgets, what they say brought
+together. No I/O: texts are handed in, time too."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from blake3 import blake3
+
+from wellhitch.hooks import tree
+from wellhitch.hooks.check import check
+from wellhitch.hooks.closures import Program, compiled
+from wellhitch.hooks.containment import Standing, Steps
+from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.points import FAVOUR, MAX_TAGS, POINTS, BadAnswer, Said, Type, read_answer
+from wellhitch.hooks.values import Budget, HookFault, Items, Record, Span, Value, kind
+
+STEPS = 5_000  # of one run; a ten-line hook takes some 60, and the worst program ends in about 2 ms
+MEMORY = 5_000  # cells of one run
+LOAD_STEPS = 100_000  # for the constants of one file, and each of its tests
+MOST_KEPT = 1_000  # keys that one file remembers; the one that ends soonest goes first
+
+
+class Kept:
+    """What one file remembers, with when each key ends."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[Value, int]] = {}
+
+    def take(self, changes: Mapping[str, tuple[Value, Span]], now: int) -> int:
+        """Keep what a run remembered; returns how many keys had to go for it."""
+        for key, (value, span) in changes.items():
+            self.values[key] = (value, now + int(span))
+        over = len(self.values) - MOST_KEPT
+        if over <= 0:
+            return 0
+        for key in [key for key, (_, until) in self.values.items() if until <= now]:
+            del self.values[key]
+        dropped = sorted(self.values, key=lambda key: self.values[key][1])[
+            : max(0, len(self.values) - MOST_KEPT)
+        ]
+        for key in dropped:
+            del self.values[key]
+        return len(dropped)
+
+
+class _View(dict[str, tuple[Value, Span]]):
+    """A run's own view: what it writes is kept only if it ends well."""
+
+    def __init__(self, kept: Kept, now: int) -> None:
+        super().__init__()
+        self._kept, self._now = kept, now
+
+    def get(self, key: str, default: Any = None) -> Any:
+        """What this run wrote, else what is kept and has not ended."""
+        if key in self:
+            return self[key]
+        found = self._kept.values.get(key)
+        return (found[0], Span(0)) if found and found[1] > self._now else default
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """All files as loaded, by standing: the first has the highest. `mark` names the texts."""
+
+    mark: str
+    programs: tuple[Program, ...]
+
+
+def load(texts: Mapping[str, str], parser: Parser) -> Version:
+    """Read, check and test all files; their names' order is their standing. Raises tree.BadHooks with all faults:
+    a version that fails its own tests is not taken."""
+    faults: list[tree.Fault] = []
+    programs: list[Program] = []
+    for name in sorted(texts):
+        try:
+            file = parser.parse(texts[name], name)
+            found = check(file)
+            faults += found
+            if not found:
+                program = compiled(file, Budget(LOAD_STEPS, LOAD_STEPS))
+                faults += run_tests(program)
+                programs.append(program)
+        except tree.BadHooks as bad:
+            faults += bad.faults
+        except HookFault as fault:
+            faults.append(tree.Fault(name, fault.at, f"a constant: {fault.text}"))
+    if faults:
+        raise tree.BadHooks(faults)
+    whole = "".join(f"{name}\0{texts[name]}\0" for name in sorted(texts))
+    return Version(blake3(whole.encode()).hexdigest()[:12], tuple(programs))
+
+
+def run_tests(program: Program) -> list[tree.Fault]:
+    """The faults of a file's own tests."""
+    out = []
+    for at, test in enumerate(program.file.tests):
+        try:
+            program.test(at, Budget(LOAD_STEPS, LOAD_STEPS))
+        except HookFault as fault:
+            out.append(tree.Fault(program.file.name, fault.at, f"test {test.what!r}: {fault.text}"))
+    return out
+
+
+def as_value(given: Any, wanted: Type) -> Value:
+    """A fact of the server as a value of the language, by the point's type."""
+    if isinstance(wanted, dict):
+        return Record({name: as_value(given[name], inner) for name, inner in wanted.items()}, 1)
+    if wanted == "duration":
+        return Span(int(given))
+    if isinstance(given, (list, tuple)):
+        return Items(tuple(given), 1)
+    value: Value = given
+    return value
+
+
+Log = Callable[..., None]
+
+
+@dataclass
+class Hooks:
+    """The hooks in service."""
+
+    version: Version
+    use_cases: frozenset[str]
+    log: Log
+    counts: Counter[str] = field(default_factory=Counter)
+    kept: dict[str, Kept] = field(default_factory=dict)
+    standings: dict[str, Standing] = field(default_factory=dict)
+    steps: Steps = field(default_factory=Steps)
+
+    def swap(self, version: Version) -> None:
+        """Another version from now on. What files remember stays with their names; benches start over."""
+        self.log("hooks_swapped", before=self.version.mark, after=version.mark)
+        self.version = version
+        self.standings.clear()
+
+    def said(self, point: str, facts: Mapping[str, Any], key: str, now: int) -> Said:
+        """What all hooks of a point say together. Never raises: a hook that fails is passed over.
+
+        Of two that contradict each other the one of higher standing holds; favours multiply, within bounds."""
+        programs = [one for one in self.version.programs if point in one.hooks]
+        if not programs:
+            return Said()
+        inputs = {name: as_value(facts[name], wanted) for name, wanted in POINTS[point].inputs.items()}
+        together = Said()
+        for place, program in enumerate(programs):
+            one = self._run(program, point, inputs, key, place, len(programs), now)
+            if one is not None:
+                together = _joined(together, one)
+        return together
+
+    def _run(
+        self, program: Program, point: str, inputs: dict[str, Value], key: str, place: int, of: int, now: int
+    ) -> Said | None:
+        name = program.file.name
+        standing = self.standings.setdefault(name, Standing())
+        if not self.steps.may(place, of, now):
+            self.counts["hooks_passed_over.pressed"] += 1
+            return None
+        if not standing.may(key, now):
+            self.counts["hooks_passed_over.benched"] += 1
+            return None
+        kept = self.kept.setdefault(name, Kept())
+        view = _View(kept, now)
+        budget = Budget(STEPS, MEMORY, store=view)
+        self.counts["hooks_run"] += 1
+        try:
+            said = read_answer(point, program.run(point, inputs, budget), self.use_cases)
+        except (HookFault, BadAnswer) as fault:
+            self._failed(fault, name, point, key, standing, now)
+            return None
+        finally:
+            self.steps.used(STEPS - max(0, budget.steps))
+        standing.went_well(key)
+        if view and (dropped := kept.take(view, now)):
+            self.counts["hooks_state_dropped"] += dropped
+        return said
+
+    def _failed(
+        self, fault: HookFault | BadAnswer, name: str, point: str, key: str, standing: Standing, now: int
+    ) -> None:
+        what = fault.kind if isinstance(fault, HookFault) else "answer"
+        at = fault.at[0] if isinstance(fault, HookFault) else 0
+        self.counts[f"hooks_failed.{what}"] += 1
+        benched = standing.failed(key, now)
+        if benched:
+            self.counts[f"hooks_benched.{benched}"] += 1
+            self.log("hook_benched", hook=name, point=point, line=at, why=str(fault), of=benched, key=key)
+
+    def remembered(self) -> dict[str, dict[str, str]]:
+        """What files remember, for operators: kinds alone, as values may name callers."""
+        return {
+            name: {key: kind(value) for key, (value, _) in kept.values.items()}
+            for name, kept in self.kept.items()
+        }
+
+
+def _joined(first: Said, then: Said) -> Said:
+    """What two say together; the first has the higher standing."""
+    favour = min(FAVOUR, max(1 / FAVOUR, first.favour * then.favour))
+    tags = (*first.tags, *(tag for tag in then.tags if tag not in first.tags))[:MAX_TAGS]
+    return Said(
+        use_case=first.use_case or then.use_case,
+        favour=favour,
+        tags=tags,
+        push_back=first.push_back or then.push_back,
+        mark=first.mark or then.mark,
+    )
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -12,7 +12,7 @@
 
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
-from wellhitch.interface.state import Exchange
+from wellhitch.interface.state import Dialogue, Exchange
 from wellhitch.rules import decide
 from wellhitch.server.dials import (
     ENDINGS,
@@ -131,13 +131,20 @@
         while where and where.tb_next:
             where = where.tb_next
         line = where.tb_lineno if where else 0
+        about = getattr(event, "dialogue", event.token - 1 if isinstance(event, ev.Rang) else -1)
+        known = self.exchange.dialogues.get(about)
         self.outlet.log(
-            "decision_fault", fault=f"{type(fault).__name__}: {fault}", line=line, told=repr(event)
+            "decision_fault",
+            fault=f"{type(fault).__name__}: {fault}",
+            line=line,
+            told=repr(event),
+            own_price=self.exchange.own_price,
+            held=len(self.exchange.dialogues),
+            dialogue=known and _shown(known),
         )
         if isinstance(event, ev.Rang) and event.token == 0:
             # The interval's timer is armed by the decision that raised; without it no price would step again.
             self.outlet.timer(TELL_EVERY * 5, lambda at: self._feed(ev.Rang(0), at))
-        about = getattr(event, "dialogue", event.token - 1 if isinstance(event, ev.Rang) else -1)
         self.exchange.dialogues.pop(about, None)
         taken = self.taken.get(about)
         if taken and not taken.stands:
@@ -758,3 +765,17 @@
     def owed(self) -> int:
         """Dialogues taken that still wait for their answer."""
         return sum(taken.owed for taken in self.taken.values())
+
+
+def _shown(dialogue: Dialogue) -> dict[str, Any]:
+    """A dialogue's record for the log, without the records that it points to."""
+    return {
+        "use_case": dialogue.use_case.name,
+        "destination": dialogue.destination,
+        "transit": dialogue.transit,
+        "give_up": dialogue.give_up,
+        "not_before": dialogue.not_before,
+        "stands": dialogue.stands,
+        "dials": [(dial.office.id, dial.sent, dial.took) for dial in dialogue.dials],
+        "out": dialogue.out is not None,
+    }
