Hooks in service: favour as a fact of the dialogue, benches, state, reload by the operators' door, samples

Hooks run at four points: a dialogue arrives, its final answer is given, a line of the list changes, a tick. A hook that fails or runs out is passed over and the dialogue goes on at once; one that does so often is benched, for one tenant or use case or for all, and tried again with doubling waits; when steps are short the lowest standing is passed over first. Versions are loaded, checked, tested and swapped as a whole; `hooks reload` and `hooks back` at the operators' door. Six sample hooks with their own tests.

--- /dev/null
+++ b/tests/test_hooks_service.py
@@ -0,0 +1,228 @@
+"""Hooks in service: containment, versions, state, and a bad day with broken hooks."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+from world import day, played, rules, trouble
+
+from wellhitch.hooks.containment import (
+    FAILURES,
+    FIRST_BENCH,
+    KEYS,
+    LONGEST_BENCH,
+    STEPS_PER_S,
+    Standing,
+    Steps,
+)
+from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.host import MOST_KEPT, Hooks, load
+from wellhitch.hooks.tree import BadHooks
+from wellhitch.lab.play import Played
+
+PARSER = Parser()
+SAMPLES = {file.name: file.read_text() for file in (Path(__file__).parents[1] / "hooks").glob("*.hook")}
+USE_CASES = frozenset({"cheap", "dear", "card-lock", "balance-check", "loan-simulation"})
+SECOND = 1_000_000
+
+
+def facts(**call: Any) -> dict[str, Any]:
+    base = {
+        "use_case": "cheap", "destination": 1, "called": "1", "width": 1, "redialled": False, "transit": False,
+        "tenant": None, "left": SECOND,
+    }  # fmt: skip
+    return {
+        "call": {**base, **call},
+        "clock": {"hour": 9, "minute": 0, "weekday": 1, "date": "2026-12-01", "since_start": 0},
+        "load": {"held": 0, "own_price": 0.0, "price_there": 0.0, "free_there": None},
+        "place": {"number": 0},
+    }
+
+
+def hooks(**texts: str) -> Hooks:
+    said: list[str] = []
+    made = Hooks(load(texts, PARSER), USE_CASES, lambda event, **f: said.append(event))
+    return made
+
+
+# ---- containment ----
+
+
+def test_a_key_that_makes_a_hook_fail_is_benched_alone() -> None:
+    standing = Standing()
+    told = [standing.failed("slow tenant", now) for now in range(FAILURES)]
+    assert told == [""] * (FAILURES - 1) + ["key"]
+    assert not standing.may("slow tenant", 10) and standing.may("another", 10)
+    assert standing.may("slow tenant", FIRST_BENCH + 10)
+
+
+def test_several_keys_bench_the_hook_for_all() -> None:
+    standing = Standing()
+    told = [standing.failed(f"tenant {key}", 0) for key in range(KEYS) for _ in range(FAILURES)]
+    assert told[-1] == "all" and not standing.may("anybody", 10)
+
+
+def test_each_failed_trial_doubles_the_bench_and_one_good_run_clears_it() -> None:
+    standing, now, spans = Standing(), 0, []
+    for _ in range(FAILURES):
+        standing.failed("t", now)
+    for _ in range(12):
+        start = now
+        while not standing.may("t", now):
+            now += SECOND
+        spans.append(now - start)
+        standing.failed("t", now)
+    assert spans[0] == FIRST_BENCH and spans[1] == 2 * spans[0] and max(spans) == LONGEST_BENCH
+    now += LONGEST_BENCH
+    standing.went_well("t")
+    assert "t" not in standing.keys and standing.failed("t", now) == ""
+
+
+def test_the_lowest_hook_is_passed_over_first_when_steps_are_short() -> None:
+    steps = Steps(left=0.4 * STEPS_PER_S, at=0)
+    assert [steps.may(place, 3, 0) for place in range(3)] == [True, True, False]
+    steps.used(int(0.3 * STEPS_PER_S))
+    assert [steps.may(place, 3, 0) for place in range(3)] == [True, False, False]
+    assert steps.may(2, 3, SECOND)
+
+
+# ---- what hooks say together ----
+
+
+def test_of_two_that_undo_each_other_the_higher_holds() -> None:
+    made = hooks(
+        a='on arrive { return {use_case: "dear", favour: 2} }',
+        b='on arrive { return {use_case: "cheap", favour: 0.5} }',
+    )
+    said = made.said("arrive", facts(), "k", 0)
+    assert said.use_case == "dear" and said.favour == 1.0
+
+
+def test_a_hook_that_fails_is_passed_over_and_the_next_one_runs() -> None:
+    made = hooks(a="on arrive { let x = 1 / 0 }", b="on arrive { return {favour: 2} }")
+    for now in range(6):
+        assert made.said("arrive", facts(), "k", now).favour == 2
+    assert made.counts["hooks_failed.wrong"] == FAILURES and made.counts["hooks_passed_over.benched"] == 3
+
+
+def test_a_hook_that_is_slow_for_one_tenant_is_benched_for_that_tenant() -> None:
+    text = 'on arrive { if call.tenant == "big" { let n = 0 while n >= 0 { n = n + 1 } } return {favour: 2} }'
+    made = hooks(a=text)
+    for now in range(10):
+        assert made.said("arrive", facts(tenant="big"), "big", now).favour == 1
+        assert made.said("arrive", facts(tenant="small"), "small", now).favour == 2
+    assert made.counts["hooks_failed.steps"] == FAILURES and made.counts["hooks_benched.key"] == 1
+
+
+def test_state_is_kept_for_its_time_and_a_failed_run_keeps_nothing() -> None:
+    text = """on arrive {
+      let n = recall("n", 0) + 1
+      remember("n", n, 2s)
+      if call.called == "bad" { let x = 1 / 0 }
+      return {tags: [text(n)]}
+    }"""
+    made = hooks(a=text)
+    assert [made.said("arrive", facts(), "k", now).tags for now in (0, 1, 2)] == [("1",), ("2",), ("3",)]
+    assert made.said("arrive", facts(called="bad"), "k", 3).tags == ()
+    assert made.said("arrive", facts(), "k", 4).tags == ("4",)
+    assert made.said("arrive", facts(), "k", 4 + 2 * SECOND).tags == ("1",)
+
+
+def test_state_that_grows_is_bounded_and_told() -> None:
+    made = hooks(a="on arrive { for i in 90 { remember(call.called + text(i), 1, 1h) } }")
+    for n in range(15):
+        made.said("arrive", facts(called=f"{n}-"), "k", n)
+    assert (
+        len(made.kept["a"].values) == MOST_KEPT and made.counts["hooks_state_dropped"] == 15 * 90 - MOST_KEPT
+    )
+
+
+def test_a_swap_is_whole_and_state_survives_it() -> None:
+    made = hooks(a='on arrive { remember("n", recall("n", 0) + 1, 1h) return {tags: ["old"]} }')
+    made.said("arrive", facts(), "k", 0)
+    old = made.version
+    new = load({"a": 'on arrive { return {tags: ["new " + text(recall("n", 0))]} }'}, PARSER)
+    made.swap(new)
+    assert made.said("arrive", facts(), "k", 1).tags == ("new 1",)
+    made.swap(old)
+    assert made.said("arrive", facts(), "k", 2).tags == ("old",) and old.mark != new.mark
+
+
+def test_a_version_that_fails_its_own_tests_is_not_taken() -> None:
+    with pytest.raises(BadHooks, match="a:1:36: test 'no': what is expected is not so"):
+        load({"a": 'on arrive { return } test "no" {   expect arrive({}, {}, {}, {}) != none }'}, PARSER)
+
+
+def test_the_samples_pass_their_own_tests() -> None:
+    assert len(SAMPLES) >= 6
+    assert len(load(SAMPLES, PARSER).programs) == len(SAMPLES)
+
+
+# ---- the broken hooks, on the whole path ----
+
+BROKEN = {
+    "a-loops": 'on arrive { if call.use_case == "dear" { let n = 0 while n >= 0 { n = n + 1 } } }',
+    "b-allocates": "on arrive { let a = [1] while length(a) > 0 { a = a + a } }",
+    "c-raises": """
+        on arrive { let x = 1 / 0 }
+        on answer { let x = [][1] }
+        on list { let x = [office][1] }
+        on tick { let x = place.number / 0 }""",
+    "d-wrong-type": "on arrive { let x = [] x = 5 return x }",
+    "e-lies": 'on arrive { let c = "unheard-of" return {use_case: c} }',
+    "f-changes": """on arrive {
+        let n = recall("n", 0)
+        remember("n", n + 1, 1h)
+        if n % 2 == 0 { return {favour: 9} }
+        return {favour: -9}
+    }""",
+    "g-fills": """on arrive {
+        let n = recall("n", 0)
+        remember("n", n + 200, 1h)
+        for i in 90 { remember(text(n + i), i, 1h) }
+    }""",
+    "h-deep": "function f(x) { return f([x]) } on tick { f(1) } on arrive { f(1) }",
+    "i-undoes": "on arrive { return {favour: 0.4} }",
+    "j-undone": "on arrive { return {favour: 2.5} }",
+}
+
+
+def bad_day(texts: dict[str, str]) -> Played:
+    troubles = [
+        trouble("crash", at="2s", length="1s", on=[1]),
+        trouble("deploy", at="3s", on=[2], size=0.34, extra=2),
+        trouble("answer_lost", at="5s", length="3s", size=0.2),
+    ]
+    return played(day(n=3, rate=12, troubles=troubles, hooks=texts))
+
+
+def test_a_bad_day_with_broken_hooks() -> None:
+    plain, broken = bad_day({}), bad_day(BROKEN)
+    assert rules(plain) == rules(broken) == []
+    assert not broken.left_open and not broken.lost_circuits
+    counts = broken.servers[0]["counts"]
+    kinds = [name for name in counts if name.startswith("hooks_failed.")]
+    assert {"hooks_failed.steps", "hooks_failed.memory", "hooks_failed.wrong", "hooks_failed.answer"} <= set(
+        kinds
+    )
+    assert counts["hooks_benched.all"] >= 3 and counts["hooks_passed_over.benched"] > 50
+    medians = [sorted(done.service.set_up_us)[len(done.service.set_up_us) // 2] for done in (plain, broken)]
+    assert medians[1] < 1.1 * medians[0]
+
+
+def test_favour_moves_who_is_pushed_back_under_pressure() -> None:
+    slow = trouble("slow", at="1s", length="9s", size=4)
+    favoured = {"a": 'on arrive { if call.use_case == "dear" { return {favour: 3} } }'}
+    plain = played(day(rate=25, troubles=[slow])).service.by_use_case["dear"]
+    moved = played(day(rate=25, troubles=[slow], hooks=favoured)).service.by_use_case["dear"]
+    assert moved.pushed_back / moved.asked < 0.6 * plain.pushed_back / plain.asked
+
+
+def test_a_push_back_and_a_named_use_case_reach_the_callers() -> None:
+    texts = {
+        "a": 'on arrive { if call.destination == 1 { return {push_back: "closed"} } return {use_case: "dear"} }'
+    }
+    done = played(day(hooks=texts))
+    assert done.verdict.breaks == []
+    counts = done.servers[0]["counts"]
+    assert counts["hooks_pushed_back"] > 5 and counts["hooks_named_use_case"] > 5
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -40,8 +40,8 @@
 class AnswersLate(Switch):
     """Takes the callers' time for half a second longer than it is."""
 
-    def _arrived(self, taken: Taken, left: int, redialled: bool, advised: int, now: int) -> None:
-        super()._arrived(taken, left + 500_000, redialled, advised, now)
+    def _arrived(self, taken: Taken, left: int, *rest: Any) -> None:
+        super()._arrived(taken, left + 500_000, *rest)
 
 
 class TurnsTransitsBackTwice(Switch):
--- a/wellhitch/cli/check.py
+++ b/wellhitch/cli/check.py
@@ -5,6 +5,9 @@
 import click
 
 from wellhitch.cli.errors import told_plainly
+from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.host import load
+from wellhitch.hooks.tree import BadHooks
 from wellhitch.settings import checked, day, sheet
 from wellhitch.settings.template import evaluate
 
@@ -31,11 +34,22 @@
     """A sheet, checked as a whole. Raises Faults."""
     made = checked.read(evaluate(file), sheet.Sheet, str(file))
     sheet.check(made, str(file))
+    check_hooks(made.hooks, str(file))
     return made
 
 
+def check_hooks(texts: dict[str, str], where: str) -> None:
+    """The hooks of a sheet or day, with their own tests. Raises Faults."""
+    if texts:
+        try:
+            load(texts, Parser())
+        except BadHooks as bad:
+            raise checked.Faults(where, [f"hooks: {fault}" for fault in bad.faults]) from None
+
+
 def read_day(file: Path) -> day.Day:
     """A day, checked as a whole. Raises Faults."""
     made = checked.read(evaluate(file), day.Day, str(file))
     day.check(made, str(file))
+    check_hooks(made.hooks, str(file))
     return made
--- a/wellhitch/cli/serve.py
+++ b/wellhitch/cli/serve.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from wellhitch.cli.logs import set_up
 from wellhitch.net.seam import LoopbackNetwork, now_us
 from wellhitch.server.daemon import Daemon, Doors
+from wellhitch.server.hooked import WallClock
 from wellhitch.settings.sheet import Sheet, opened
 
 STOP_WITHIN = 10_000_000  # us; longer than any outer limit seen, so that what is owed can be answered
@@ -35,10 +37,21 @@
     """
     with told_plainly():
         sheet = read_sheet(file)
-    sys.exit(asyncio.run(_serve(sheet, log_level)))
+    sys.exit(asyncio.run(_serve(sheet, file, log_level)))
 
 
-async def _serve(sheet: Sheet, log_level: str) -> int:
+def wall_clock(began: float, now: int) -> WallClock:
+    """People's local time for hooks, from the epoch's seconds at a time of the loop."""
+
+    def at(later: int) -> tuple[int, int, str]:
+        shown = time.localtime(began + (later - now) / 1e6)
+        second = shown.tm_hour * 3600 + shown.tm_min * 60 + shown.tm_sec
+        return second, shown.tm_wday + 1, time.strftime("%Y-%m-%d", shown)
+
+    return WallClock(at)
+
+
+async def _serve(sheet: Sheet, file: Path, log_level: str) -> int:
     loop = asyncio.get_running_loop()
     logger = set_up(log_level)
     over: asyncio.Future[int] = loop.create_future()
@@ -56,7 +69,18 @@
     # A mark that is new with each start: the process id and the loop's clock, which nothing else reads.
     boot = (now_us(loop) << 16 | os.getpid() & 0xFFFF) & ((1 << 62) - 1)
     doors = Doors(d.callers, d.peers, d.operators, d.register, d.centre)
-    daemon = Daemon(loop, LoopbackNetwork(loop), opened(sheet), doors, sheet.limits.max_open, boot, log)
+    daemon = Daemon(
+        loop,
+        LoopbackNetwork(loop),
+        opened(sheet),
+        doors,
+        sheet.limits.max_open,
+        boot,
+        log,
+        hooks=sheet.hooks,
+        clock=wall_clock(time.time(), now_us(loop)),
+        reread=lambda: read_sheet(file).hooks,
+    )
     loop.set_exception_handler(trouble)
 
     def stop() -> None:
--- a/wellhitch/interface/events.py
+++ b/wellhitch/interface/events.py
@@ -91,7 +91,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """A dialogue was handed over; it is owed one final answer within `left`."""
+    """A dialogue was handed over; it is owed one final answer within `left`. `favour`: times its use case's payoff,
+    as the operators' hooks say."""
 
     dialogue: int
     use_case: str
@@ -102,6 +103,7 @@
     advised: int | None
     redialled: bool
     transit: bool
+    favour: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/wellhitch/interface/state.py
+++ b/wellhitch/interface/state.py
@@ -34,6 +34,7 @@
     advised: int | None
     transit: bool
     chance: float
+    favour: float = 1.0
     dials: list[Dial] = field(default_factory=list)
     tried: list[Office] = field(default_factory=list)
     out: Dial | None = None
--- a/wellhitch/lab/fleet.py
+++ b/wellhitch/lab/fleet.py
@@ -66,6 +66,7 @@
         use_cases=cases,
         rules=day.rules,
         limits=day.limits,
+        hooks=day.hooks,
         doors=DoorLine(
             callers=addresses.of(host, "callers"),
             register=addresses.of("register", "list"),
@@ -140,6 +141,7 @@
             boot,
             self.log(number),
             self.make_switch,
+            hooks=sheet.hooks,
         )
         daemon.start()
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -135,6 +135,7 @@
         advised=event.advised,
         transit=event.transit,
         chance=draw(x),
+        favour=event.favour,
     )
     x.dialogues[event.dialogue] = dialogue
     called.called_at = now
@@ -156,7 +157,7 @@
     destination = x.by_number.get(dialogue.destination)
     pressed = (x.own_price > 0) + (destination is not None and destination.price > 0)
     late = now + pressed * x.bound_delay - dialogue.first_try > dialogue.use_case.agreed_time
-    return dialogue.use_case.payoff * (dialogue.use_case.late_share if late else 1.0)
+    return dialogue.use_case.payoff * dialogue.favour * (dialogue.use_case.late_share if late else 1.0)
 
 
 def felt(dialogue: Dialogue, price: float) -> float:
@@ -176,7 +177,7 @@
     if office.size is None:
         return True
     kept = kept_back(office, x.linked) if alternate else 0
-    if dialogue.use_case.payoff < 2 * x.unit:
+    if dialogue.use_case.payoff * dialogue.favour < 2 * x.unit:
         kept += min(1, office.size // 20)
     return office.free >= dialogue.width + kept
 
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
 import msgspec
 
+from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.host import Hooks, Version, load
+from wellhitch.hooks.tree import BadHooks
 from wellhitch.interface import events as ev
 from wellhitch.net.seam import Listener, Network, now_us
+from wellhitch.server.hooked import NO_CLOCK, Hooked, WallClock
 from wellhitch.server.metrics import exposition
 from wellhitch.server.switch import Outlet, Switch
+from wellhitch.settings.checked import Faults
 from wellhitch.trunk import frames
 from wellhitch.trunk.port import KeptLink, Port
 
@@ -49,6 +54,9 @@
         boot: int,
         log: Log,
         make_switch: Callable[[ev.Opened, int, Outlet], Switch] = Switch,
+        hooks: Mapping[str, str] | None = None,
+        clock: WallClock = NO_CLOCK,
+        reread: Callable[[], Mapping[str, str]] | None = None,
     ) -> None:
         self.loop, self.network, self.doors, self.write_log = loop, network, doors, log
         self.chance = random.Random(opened.seed ^ boot)
@@ -63,6 +71,14 @@
         self.kept: list[KeptLink] = []
         self.ports: dict[Port, None] = {}
         self.operators: dict[asyncio.Transport, None] = {}
+        self.reread = reread
+        self.parser: Parser | None = None
+        self.past: list[Version] = []
+        if hooks:
+            self.parser = Parser()
+            use_cases = frozenset(use.name for use in opened.use_cases)
+            made = Hooks(load(hooks, self.parser), use_cases, log, self.switch.counts)
+            self.switch.hooked = Hooked(made, self.switch.exchange, self.switch.number, clock)
         self.tells = opened.permissions.may_tell_peers and not opened.place.advised
         self.stopped = False
 
@@ -230,6 +246,42 @@
                     self._fork(address),
                 )
 
+    def hooks_asked(self, what: str) -> str:
+        """An operator's word about hooks: `reload` takes the files as they are now, as a whole or not at all; `back`
+        goes back to the version before; anything else shows what runs."""
+        hooked = self.switch.hooked
+        if hooked is None or self.parser is None:
+            return "no hooks: the sheet names none"
+        hooks = hooked.hooks
+        if what == "reload":
+            try:
+                version = load(self.reread(), self.parser) if self.reread else hooks.version
+            except BadHooks as bad:
+                return f"not taken, {hooks.version.mark} runs on\n{bad}"
+            except Faults as bad_sheet:
+                return f"not taken, {hooks.version.mark} runs on\n{bad_sheet}"
+            if version.mark == hooks.version.mark:
+                return f"{version.mark} runs already"
+            self.past = [*self.past[-9:], hooks.version]
+            hooks.swap(version)
+            return f"{version.mark} runs from now on"
+        if what == "back":
+            if not self.past:
+                return f"nothing before {hooks.version.mark}"
+            hooks.swap(self.past.pop())
+            return f"{hooks.version.mark} runs from now on"
+        shown = {
+            "version": hooks.version.mark,
+            "files": [program.file.name for program in hooks.version.programs],
+            "benched": {
+                name: {"all_until": one.whole.until, "keys": list(one.keys)}
+                for name, one in hooks.standings.items()
+                if one.whole.until or one.keys
+            },
+            "remembered": hooks.remembered(),
+        }
+        return msgspec.json.format(msgspec.json.encode(shown), indent=2).decode()
+
     def status(self) -> dict[str, Any]:
         """What an operator sees: state as it is."""
         switch = self.switch
@@ -362,7 +414,7 @@
 
 
 class _Operator(asyncio.BufferedProtocol):
-    """An operator's line: `status` or `metrics`, answered and closed."""
+    """An operator's line: `status`, `metrics`, `hooks`, `hooks reload` or `hooks back`, answered and closed."""
 
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
@@ -395,7 +447,9 @@
             said = msgspec.json.format(msgspec.json.encode(self.daemon.status()), indent=2) + b"\n"
         elif asked == "metrics":
             said = exposition(self.daemon.switch)
+        elif asked.split(" ")[0] == "hooks":
+            said = self.daemon.hooks_asked(asked.partition(" ")[2]).encode() + b"\n"
         else:
-            said = f"unknown request {asked[:40]!r}: status or metrics\n".encode()
+            said = f"unknown request {asked[:40]!r}: status, metrics or hooks\n".encode()
         self.transport.write(said)
         self.transport.close()
--- a/wellhitch/server/dials.py
+++ b/wellhitch/server/dials.py
@@ -52,6 +52,7 @@
     up: bool = False
     boot: int = 0
     next_ref: int = 0
+    mark: str = ""
     dials: dict[int, DialOut] = field(default_factory=dict)
     passing: dict[int, DialOut] = field(default_factory=dict)
     transits: dict[int, Taken] = field(default_factory=dict)
@@ -80,6 +81,11 @@
     home: OfficeEnd | None = None
     home_ref: int = 0
     owed: bool = True
+    tenant: str | None = None
+    tags: tuple[str, ...] = ()
+    came: int = 0
+    until: int = 0
+    version: str = ""
     dials: list[DialOut] = field(default_factory=list)
     last_blame: Blame = Blame.NONE
 
--- /dev/null
+++ b/wellhitch/server/hooked.py
@@ -0,0 +1,114 @@
+"""Hooks at the call server: facts of the server for each point, and what was said as facts of the event. Nothing of
+a hook's reaches a route, a dial or a time-out."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from wellhitch.hooks.host import Hooks
+from wellhitch.hooks.points import Said
+from wellhitch.interface.state import Exchange
+from wellhitch.server.dials import OfficeEnd, Taken
+from wellhitch.trunk import frames
+from wellhitch.trunk.circuits import Group
+
+TICK = 1_000_000  # us between runs of `on tick`
+
+
+@dataclass(frozen=True, slots=True)
+class WallClock:
+    """What time people's clocks show, handed in: hooks see it, the decisions do not. `second`: of the local day, with
+    the weekday from 1 and the date, at a time of the loop in us."""
+
+    at: Callable[[int], tuple[int, int, str]]
+
+
+NO_CLOCK = WallClock(lambda now: (now // 1_000_000 % 86_400, 1, "2026-01-01"))
+"""Where no clock is handed in: the loop's time as if the day began with it, the same on every run."""
+
+
+@dataclass(slots=True)
+class Hooked:
+    """The hooks of one call server with what they are told."""
+
+    hooks: Hooks
+    exchange: Exchange
+    number: int
+    clock: WallClock = NO_CLOCK
+    began: int = 0
+
+    def _clock(self, now: int) -> dict[str, Any]:
+        second, weekday, date = self.clock.at(now)
+        return {
+            "hour": second // 3600,
+            "minute": second // 60 % 60,
+            "weekday": weekday,
+            "date": date,
+            "since_start": now - self.began,
+        }
+
+    def arrives(self, call: frames.Call, held: int, groups: Mapping[int, Group], now: int) -> Said:
+        """What is said of a dialogue before it is told to the decisions."""
+        there = self.exchange.by_number.get(call.destination)
+        group = groups.get(call.destination)
+        facts = {
+            "call": {
+                "use_case": call.use_case,
+                "destination": call.destination,
+                "called": call.called,
+                "width": call.width,
+                "redialled": call.redialled,
+                "transit": False,
+                "tenant": call.tenant,
+                "left": call.left,
+            },
+            "clock": self._clock(now),
+            "load": {
+                "held": held,
+                "own_price": self.exchange.own_price,
+                "price_there": there.price if there else 0.0,
+                "free_there": group.free if group else None,
+            },
+            "place": {"number": self.number},
+        }
+        return self.hooks.said("arrive", facts, call.tenant or call.use_case, now)
+
+    def answered(self, taken: Taken, answer: str, left: int, now: int) -> tuple[str, ...]:
+        """The tags of a dialogue that gets its final answer."""
+        facts = {
+            "call": {
+                "use_case": taken.use_case,
+                "destination": taken.destination,
+                "called": taken.called,
+                "width": taken.width,
+                "redialled": False,
+                "transit": False,
+                "tenant": taken.tenant,
+                "left": left,
+            },
+            "clock": self._clock(now),
+            "place": {"number": self.number},
+            "answer": answer,
+            "took": now - taken.came,
+            "tags": taken.tags,
+        }
+        said = self.hooks.said("answer", facts, taken.tenant or taken.use_case, now)
+        return (*taken.tags, *(tag for tag in said.tags if tag not in taken.tags))
+
+    def listed(self, end: OfficeEnd, now: int) -> str | None:
+        """A mark for an office of which the list's line changed."""
+        facts = {
+            "office": {"id": end.id, "number": end.number, "standing": end.standing.name.lower()},
+            "clock": self._clock(now),
+            "place": {"number": self.number},
+        }
+        return self.hooks.said("list", facts, end.id, now).mark
+
+    def tick(self, held: int, now: int) -> None:
+        """Once a second."""
+        facts = {
+            "clock": self._clock(now),
+            "load": {"held": held, "own_price": self.exchange.own_price},
+            "place": {"number": self.number},
+        }
+        self.hooks.said("tick", facts, "tick", now)
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -10,6 +10,9 @@
 from collections.abc import Callable, Hashable
 from typing import Any, Protocol
 
+import msgspec
+
+from wellhitch.hooks.points import Said
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
 from wellhitch.interface.state import Dialogue, Exchange
@@ -25,6 +28,7 @@
     load_of,
     turned_back_reason,
 )
+from wellhitch.server.hooked import TICK, Hooked
 from wellhitch.trunk import frames
 from wellhitch.trunk.circuits import Group, disagreement
 
@@ -90,6 +94,7 @@
         self.advice: list[int] = []
         self.revision = -1
         self.stopping = False
+        self.hooked: Hooked | None = None
         self._next_id = 0
         self._events: deque[ev.Event] = deque()
         self._feeding = False
@@ -102,6 +107,14 @@
     def start(self, now: int) -> None:
         """Begin: nothing is known but the facts of the place."""
         self._feed(self.opened, now)
+        if self.hooked:
+            self.hooked.began = now
+            self.outlet.timer(TICK, self._tick)
+
+    def _tick(self, now: int) -> None:
+        if self.hooked:
+            self.hooked.tick(len(self.taken), now)
+            self.outlet.timer(TICK, self._tick)
 
     def _feed(self, event: ev.Event, now: int) -> None:
         """Tell the decisions one event, carry their actions out in order, then the events that came of them."""
@@ -185,14 +198,25 @@
             self.counts[f"turned_away.{fault}"] += 1
             self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0))
             return
+        said = self.hooked.arrives(call, len(self.taken), self.groups, now) if self.hooked else Said()
+        if said.push_back is not None:
+            self.counts["hooks_pushed_back"] += 1
+            self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0))
+            return
+        if said.use_case is not None and said.use_case != call.use_case:
+            self.counts["hooks_named_use_case"] += 1
+            call = msgspec.structs.replace(call, use_case=said.use_case)
         taken = self._take(call, self.number, 0, now)
+        taken.tenant, taken.tags = call.tenant, said.tags
+        if self.hooked:
+            taken.version = self.hooked.hooks.version.mark
         taken.link, taken.caller_id, taken.origin_id = link, call.id, taken.id
         self.by_caller[key] = taken
         home = self._home()
         if home:
             self.outlet.to_office(home.id, frames.Pass(0, "look"))
         advised = self.advice[call.destination] if 0 <= call.destination < len(self.advice) else -1
-        self._arrived(taken, call.left, call.redialled, advised, now)
+        self._arrived(taken, call.left, call.redialled, advised, now, said.favour)
 
     def _call_fault(self, call: frames.Call, key: tuple[Hashable, int]) -> str:
         if self.stopping:
@@ -214,7 +238,10 @@
         self.counts["taken"] += 1
         return taken
 
-    def _arrived(self, taken: Taken, left: int, redialled: bool, advised: int, now: int) -> None:
+    def _arrived(
+        self, taken: Taken, left: int, redialled: bool, advised: int, now: int, favour: float = 1.0
+    ) -> None:
+        taken.came, taken.until = now, now + left
         self._feed(
             ev.Arrived(
                 dialogue=taken.id,
@@ -226,6 +253,7 @@
                 advised=None if advised < 0 or taken.home else advised,
                 redialled=redialled,
                 transit=taken.home is not None,
+                favour=favour,
             ),
             now,
         )
@@ -266,6 +294,9 @@
         self.counts[f"answer.{answer}"] += 1
         if taken.link is not None:
             self.outlet.to_caller(taken.link, frames.Final(taken.caller_id, answer, come_back))
+            if self.hooked:
+                # After the answer went out: a hook that takes long delays nobody's answer.
+                taken.tags = self.hooked.answered(taken, answer, max(0, taken.until - now), now)
         elif taken.home is not None:
             if answer == "stands":
                 self.outlet.to_office(taken.home.id, frames.Answer(taken.home_ref))
@@ -680,6 +711,7 @@
             self.outlet.log("list_malformed", revision=frame.revision, line=repr(bad[:1]))
             return
         self.revision = frame.revision
+        before = {end.id: end.standing for end in self.offices.values()}
         named = set()
         for line in frame.lines:
             named.add(line.office)
@@ -694,6 +726,8 @@
         self._feed(ev.Listed(heard[frame.kind], lines), now)
         for end in list(self.offices.values()):
             self._follow_standing(end, now)
+            if self.hooked and before.get(end.id) is not end.standing:
+                end.mark = self.hooked.listed(end, now) or end.mark
             if end.standing is ev.Standing.GONE and not (end.dials or end.passing or end.transits):
                 del self.offices[end.id]  # replaced processors must not pile up over the weeks
 
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -145,6 +145,7 @@
     offices: OfficeLine = OfficeLine()
     register: RegisterLine = RegisterLine()
     centre: CentreLine | None = None
+    hooks: dict[str, str] = {}
     drift: DriftLine | None = None
     bursts: DriftLine | None = None
     shape: list[tuple[float, float]] = []
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -76,7 +76,7 @@
 
 
 class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All of one call server."""
+    """All of one call server. `hooks`: files of the hooks' language by name, their order by name the standing."""
 
     number: Annotated[int, msgspec.Meta(ge=0, lt=65536)]
     seed: Count
@@ -85,6 +85,7 @@
     rules: RuleLine
     doors: DoorLine
     limits: LimitLine = LimitLine()
+    hooks: dict[str, str] = {}
 
 
 def check(sheet: Sheet, where: str) -> None:
--- a/wellhitch/trunk/frames.py
+++ b/wellhitch/trunk/frames.py
@@ -63,6 +63,7 @@
     left: int
     width: int = 1
     redialled: bool = False
+    tenant: str | None = None
 
 
 class Final(Frame, frozen=True):
