--- a/tests/test_hooks_service.py
+++ b/tests/test_hooks_service.py
@@ -16,9 +16,11 @@
     Steps,
 )
 from wellhitch.hooks.grammar import Parser
-from wellhitch.hooks.host import MOST_KEPT, Hooks, load
+from wellhitch.hooks.host import BUCKETS, MOST_KEPT, Hooks, load
 from wellhitch.hooks.tree import BadHooks
+from wellhitch.lab.fleet import InProcess
 from wellhitch.lab.play import Played
+from wellhitch.stand_ins.town import Town
 
 PARSER = Parser()
 SAMPLES = {file.name: file.read_text() for file in (Path(__file__).parents[1] / "hooks").glob("*.hook")}
@@ -226,3 +228,75 @@
     assert done.verdict.breaks == []
     counts = done.servers[0]["counts"]
     assert counts["hooks_pushed_back"] > 5 and counts["hooks_named_use_case"] > 5
+
+
+def test_a_shadow_decides_nothing_and_its_differences_are_counted() -> None:
+    made = hooks(a="on arrive { return {favour: 2} }")
+    made.try_beside(
+        load({"a": 'on arrive { if call.called == "7" { return {favour: 3} } return {favour: 2} }'}, PARSER)
+    )
+    for called in range(10):
+        said, mark = made.consult("arrive", facts(called=str(called)), "k", called, str(called))
+        assert said.favour == 2 and mark == made.version.mark
+    assert made.counts["hooks_shadow.differs"] == 1 and made.counts["hooks_shadow.same"] == 9
+
+
+def test_a_canary_decides_for_its_share_of_called_numbers_and_always_the_same() -> None:
+    made = hooks(a="on arrive { return {favour: 2} }")
+    made.try_beside(load({"a": "on arrive { return {favour: 3} }"}, PARSER))
+    made.canary = BUCKETS // 5
+    first = [made.consult("arrive", facts(called=str(n)), "k", n, str(n)) for n in range(500)]
+    again = [made.consult("arrive", facts(called=str(n)), "k", n, str(n)) for n in range(500)]
+    assert first == again
+    assert 60 < sum(said.favour == 3 for said, _ in first) < 140
+    assert all((said.favour == 3) == (mark != made.version.mark) for said, mark in first)
+
+
+def test_a_failing_shadow_costs_nobody_anything() -> None:
+    made = hooks(a="on arrive { return {favour: 2} }")
+    made.try_beside(load({"a": "on arrive { let n = 0 while n >= 0 { n = n + 1 } }"}, PARSER))
+    for now in range(50):
+        assert made.consult("arrive", facts(), "k", now, "1")[0].favour == 2
+    assert made.shadow is not None and made.shadow.counts["hooks_failed.steps"] == FAILURES
+    assert not any(name.startswith("hooks_failed") for name in made.counts)
+
+
+def test_operators_swap_shadow_and_go_back_in_the_middle_of_a_flood() -> None:
+    texts = {"a": "on arrive { return {favour: 2} }"}
+    now_in_the_sheet = dict(texts)
+    said: list[str] = []
+
+    def hand(town: Town, fleet: InProcess) -> None:
+        def ask(what: str, text: str | None = None) -> None:
+            if text:
+                now_in_the_sheet["a"] = text
+            daemon = fleet.daemons[0]
+            daemon.reread = lambda: now_in_the_sheet
+            said.append(daemon.hooks_asked(what))
+
+        steps = [
+            ("reload", "on arrive { return {favour: 3} }"),
+            ("back", None),
+            ("reload", "on arrive { return 5 }"),
+            ("shadow", 'on arrive { return {push_back: "x"} }'),
+            ("canary 200", None),
+            ("canary 50", None),
+            ("", None),
+            ("take", None),
+            ("back", None),
+            ("drop", None),
+        ]
+        for at, (what, text) in enumerate(steps):
+            town.loop.call_later(4 + at * 0.5, ask, what, text)
+
+    done = played(day(rate=30, hooks=texts), meddle=hand)
+    assert done.verdict.breaks == [] and not done.left_open
+    assert "runs from now on; hooks back" in said[0] and "runs from now on" in said[1]
+    assert said[2].startswith("not taken") and "returns a record or nothing" in said[2]
+    assert "decides nothing" in said[3] and "a percentage" in said[4] and "50% of called" in said[5]
+    assert (
+        '"canary_percent": 50.0' in said[6]
+        and "runs from now on" in said[7]
+        and said[9].startswith("no shadow")
+    )
+    assert done.servers[0]["counts"]["hooks_pushed_back"] > 10
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -362,6 +362,16 @@
     assert bench.finals == ["pushed_back"]
 
 
+def test_ends_that_count_different_circuits_for_long_are_told_of(bench: Bench) -> None:
+    bench.dial()
+    bench.switch.counts_compared("o1", 1, 0)
+    bench.switch.counts_compared("o1", 0, 1)
+    bench.switch.counts_compared("o1", 0, 2 * SECOND)
+    assert "circuits_disagree" not in bench.out.said
+    bench.switch.counts_compared("o1", 0, 4 * SECOND)
+    assert "circuits_disagree" in bench.out.said and bench.switch.counts["circuits_disagree"] == 1
+
+
 def test_a_dial_goes_no_way_but_the_tables() -> None:
     assert set(LEGAL) == set(Step) and LEGAL[Step.FREE] == ()
     with pytest.raises(RuntimeError, match="FREE to OUT"):
--- a/wellhitch/hooks/host.py
+++ b/wellhitch/hooks/host.py
@@ -14,7 +14,7 @@
 from wellhitch.hooks.containment import Standing, Steps
 from wellhitch.hooks.grammar import Parser
 from wellhitch.hooks.points import FAVOUR, MAX_TAGS, POINTS, BadAnswer, Said, Type, read_answer
-from wellhitch.hooks.values import Budget, HookFault, Items, Record, Span, Value, kind
+from wellhitch.hooks.values import Budget, HookFault, Items, Record, Span, Value
 
 STEPS = 5_000  # of one run; a ten-line hook takes some 60, and the worst program ends in about 2 ms
 MEMORY = 5_000  # cells of one run
@@ -116,11 +116,20 @@
 
 
 Log = Callable[..., None]
+LISTED = 20  # differences of a shadow that the log names; all are counted
+BUCKETS = 10_000  # into which called numbers fall for a canary: a hundredth of a percent
+
+
+def bucket(called: str, mark: str) -> int:
+    """Where a called number falls, from 0 to BUCKETS - 1: the same for the same version at every call server, and
+    another draw for the next version."""
+    return int.from_bytes(blake3(f"{mark} {called}".encode()).digest(4), "big") % BUCKETS
 
 
 @dataclass
 class Hooks:
-    """The hooks in service."""
+    """The hooks in service. `shadow`: another version that runs beside, with state, benches and steps of its own;
+    it decides nothing, but for the called numbers that fall under `canary` (of BUCKETS)."""
 
     version: Version
     use_cases: frozenset[str]
@@ -129,12 +138,50 @@
     kept: dict[str, Kept] = field(default_factory=dict)
     standings: dict[str, Standing] = field(default_factory=dict)
     steps: Steps = field(default_factory=Steps)
+    shadow: "Hooks | None" = None
+    canary: int = 0
+
+    def try_beside(self, version: Version) -> None:
+        """Run another version beside this one from now on. What files remember is copied to start with."""
+        kept = {name: Kept() for name in self.kept}
+        for name, one in kept.items():
+            one.values = dict(self.kept[name].values)
+        self.shadow = Hooks(version, self.use_cases, self.log, Counter(), kept)
+        self.canary = 0
+        self.log("hooks_shadowed", version=self.version.mark, shadow=version.mark)
+
+    def drop_shadow(self) -> None:
+        """Let the shadow go."""
+        self.shadow, self.canary = None, 0
+
+    def decides(self, called: str | None) -> "Hooks":
+        """Which of the two decides for a called number: one dialogue is never decided by both."""
+        if self.shadow is None or not self.canary or called is None:
+            return self
+        return self.shadow if bucket(called, self.shadow.version.mark) < self.canary else self
+
+    def consult(
+        self, point: str, facts: Mapping[str, Any], key: str, now: int, called: str | None
+    ) -> tuple[Said, str]:
+        """What is said, and the version that said it. A shadow is run too, and where it differs that is counted."""
+        chosen = self.decides(called)
+        said = chosen.said(point, facts, key, now)
+        if self.shadow is not None:
+            other = (self if chosen is self.shadow else self.shadow).said(point, facts, key, now)
+            if other == said:
+                self.counts["hooks_shadow.same"] += 1
+            else:
+                self.counts["hooks_shadow.differs"] += 1
+                if self.counts["hooks_shadow.differs"] <= LISTED:
+                    self.log("hooks_differ", point=point, decided=repr(said), other=repr(other), key=key)
+        return said, chosen.version.mark
 
     def swap(self, version: Version) -> None:
         """Another version from now on. What files remember stays with their names; benches start over."""
         self.log("hooks_swapped", before=self.version.mark, after=version.mark)
         self.version = version
         self.standings.clear()
+        self.drop_shadow()
 
     def said(self, point: str, facts: Mapping[str, Any], key: str, now: int) -> Said:
         """What all hooks of a point say together. Never raises: a hook that fails is passed over.
@@ -189,13 +236,6 @@
             self.counts[f"hooks_benched.{benched}"] += 1
             self.log("hook_benched", hook=name, point=point, line=at, why=str(fault), of=benched, key=key)
 
-    def remembered(self) -> dict[str, dict[str, str]]:
-        """What files remember, for operators: kinds alone, as values may name callers."""
-        return {
-            name: {key: kind(value) for key, (value, _) in kept.values.items()}
-            for name, kept in self.kept.items()
-        }
-
 
 def _joined(first: Said, then: Said) -> Said:
     """What two say together; the first has the higher standing."""
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from wellhitch.hooks.grammar import Parser
-from wellhitch.hooks.host import Hooks, Version, load
+from wellhitch.hooks.host import BUCKETS, Hooks, Version, load
 from wellhitch.hooks.tree import BadHooks
 from wellhitch.interface import events as ev
 from wellhitch.net.seam import Listener, Network, now_us
@@ -247,40 +247,64 @@
                 )
 
     def hooks_asked(self, what: str) -> str:
-        """An operator's word about hooks: `reload` takes the files as they are now, as a whole or not at all; `back`
-        goes back to the version before; anything else shows what runs."""
+        """An operator's word about hooks. `reload` takes the files as they are now, as a whole or not at all;
+        `shadow` runs them beside; `canary N` lets the shadow decide for N percent of called numbers; `take` makes the
+        shadow the version, `drop` lets it go; `back` returns to the version before; else what runs is shown."""
         hooked = self.switch.hooked
         if hooked is None or self.parser is None:
             return "no hooks: the sheet names none"
-        hooks = hooked.hooks
-        if what == "reload":
+        hooks, word, number = hooked.hooks, what.split(" ")[0], what.partition(" ")[2]
+        if word in ("reload", "shadow"):
             try:
                 version = load(self.reread(), self.parser) if self.reread else hooks.version
-            except BadHooks as bad:
+            except (BadHooks, Faults) as bad:
                 return f"not taken, {hooks.version.mark} runs on\n{bad}"
-            except Faults as bad_sheet:
-                return f"not taken, {hooks.version.mark} runs on\n{bad_sheet}"
             if version.mark == hooks.version.mark:
                 return f"{version.mark} runs already"
-            self.past = [*self.past[-9:], hooks.version]
-            hooks.swap(version)
-            return f"{version.mark} runs from now on"
-        if what == "back":
+            if word == "shadow":
+                hooks.try_beside(version)
+                return f"{version.mark} runs beside {hooks.version.mark} and decides nothing"
+            return self._swap_hooks(hooks, version)
+        if word in ("canary", "take", "drop") and hooks.shadow is None:
+            return "no shadow runs: hooks shadow begins one"
+        if word == "canary":
+            if not number.isdigit() or int(number) > 100:
+                return f"canary {number[:20]!r}: a percentage from 0 to 100"
+            hooks.canary = int(number) * BUCKETS // 100
+            return f"the shadow decides for {number}% of called numbers"
+        if word == "take" and hooks.shadow is not None:
+            return self._swap_hooks(hooks, hooks.shadow.version)
+        if word == "drop":
+            hooks.drop_shadow()
+            return f"{hooks.version.mark} runs alone"
+        if word == "back":
             if not self.past:
                 return f"nothing before {hooks.version.mark}"
             hooks.swap(self.past.pop())
             return f"{hooks.version.mark} runs from now on"
-        shown = {
+        return msgspec.json.format(msgspec.json.encode(self._hooks_shown(hooks)), indent=2).decode()
+
+    def _swap_hooks(self, hooks: Hooks, version: Version) -> str:
+        self.past = [*self.past[-9:], hooks.version]
+        hooks.swap(version)
+        return f"{version.mark} runs from now on; hooks back returns to {self.past[-1].mark}"
+
+    def _hooks_shown(self, hooks: Hooks) -> dict[str, Any]:
+        return {
             "version": hooks.version.mark,
             "files": [program.file.name for program in hooks.version.programs],
+            "shadow": hooks.shadow.version.mark if hooks.shadow else None,
+            "canary_percent": hooks.canary * 100 / BUCKETS,
             "benched": {
                 name: {"all_until": one.whole.until, "keys": list(one.keys)}
                 for name, one in hooks.standings.items()
                 if one.whole.until or one.keys
             },
-            "remembered": hooks.remembered(),
+            "remembered": {name: len(kept.values) for name, kept in hooks.kept.items()},
+            "counts": {
+                name: count for name, count in sorted(hooks.counts.items()) if name.startswith("hooks")
+            },
         }
-        return msgspec.json.format(msgspec.json.encode(shown), indent=2).decode()
 
     def status(self) -> dict[str, Any]:
         """What an operator sees: state as it is."""
--- a/wellhitch/server/hooked.py
+++ b/wellhitch/server/hooked.py
@@ -47,8 +47,10 @@
             "since_start": now - self.began,
         }
 
-    def arrives(self, call: frames.Call, held: int, groups: Mapping[int, Group], now: int) -> Said:
-        """What is said of a dialogue before it is told to the decisions."""
+    def arrives(
+        self, call: frames.Call, held: int, groups: Mapping[int, Group], now: int
+    ) -> tuple[Said, str]:
+        """What is said of a dialogue before it is told to the decisions, and by which version."""
         there = self.exchange.by_number.get(call.destination)
         group = groups.get(call.destination)
         facts = {
@@ -71,7 +73,7 @@
             },
             "place": {"number": self.number},
         }
-        return self.hooks.said("arrive", facts, call.tenant or call.use_case, now)
+        return self.hooks.consult("arrive", facts, call.tenant or call.use_case, now, call.called)
 
     def answered(self, taken: Taken, answer: str, left: int, now: int) -> tuple[str, ...]:
         """The tags of a dialogue that gets its final answer."""
@@ -92,7 +94,7 @@
             "took": now - taken.came,
             "tags": taken.tags,
         }
-        said = self.hooks.said("answer", facts, taken.tenant or taken.use_case, now)
+        said, _ = self.hooks.consult("answer", facts, taken.tenant or taken.use_case, now, taken.called)
         return (*taken.tags, *(tag for tag in said.tags if tag not in taken.tags))
 
     def listed(self, end: OfficeEnd, now: int) -> str | None:
@@ -102,7 +104,7 @@
             "clock": self._clock(now),
             "place": {"number": self.number},
         }
-        return self.hooks.said("list", facts, end.id, now).mark
+        return self.hooks.consult("list", facts, end.id, now, None)[0].mark
 
     def tick(self, held: int, now: int) -> None:
         """Once a second."""
@@ -111,4 +113,4 @@
             "load": {"held": held, "own_price": self.exchange.own_price},
             "place": {"number": self.number},
         }
-        self.hooks.said("tick", facts, "tick", now)
+        self.hooks.consult("tick", facts, "tick", now, None)
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -198,7 +198,9 @@
             self.counts[f"turned_away.{fault}"] += 1
             self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0))
             return
-        said = self.hooked.arrives(call, len(self.taken), self.groups, now) if self.hooked else Said()
+        said, version = Said(), ""
+        if self.hooked:
+            said, version = self.hooked.arrives(call, len(self.taken), self.groups, now)
         if said.push_back is not None:
             self.counts["hooks_pushed_back"] += 1
             self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0))
@@ -207,9 +209,7 @@
             self.counts["hooks_named_use_case"] += 1
             call = msgspec.structs.replace(call, use_case=said.use_case)
         taken = self._take(call, self.number, 0, now)
-        taken.tenant, taken.tags = call.tenant, said.tags
-        if self.hooked:
-            taken.version = self.hooked.hooks.version.mark
+        taken.tenant, taken.tags, taken.version = call.tenant, said.tags, version
         taken.link, taken.caller_id, taken.origin_id = link, call.id, taken.id
         self.by_caller[key] = taken
         home = self._home()
