Tools, pages and measurements for hooks: check, test, explain, format, run, shadow

Facts are gathered only where a hook stands at a point.

Comparing shared lists was too cheap by half, found by it and mended.

--- /dev/null
+++ b/wellhitch/cli/hooks.py
@@ -0,0 +1,248 @@
+"""`wellhitch hooks`: tools for those who write hooks."""
+
+import re
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from wellhitch.cli.check import read_day
+from wellhitch.cli.errors import told_plainly
+from wellhitch.hooks.check import check as check_file
+from wellhitch.hooks.closures import compiled
+from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.host import LOAD_STEPS, MEMORY, STEPS, Version, as_value, load, run_tests
+from wellhitch.hooks.layout import lay_out
+from wellhitch.hooks.points import POINTS, BadAnswer, read_answer
+from wellhitch.hooks.tree import BadHooks
+from wellhitch.hooks.values import Budget, HookFault, text_of
+from wellhitch.judge.page import service_page, verdict_page
+from wellhitch.lab.hook_runs import differences, facts_of, page, run, shown
+from wellhitch.lab.play import play_virtual
+from wellhitch.settings.checked import Faults
+from wellhitch.trunk import frames
+from wellhitch.trunk.capture import BadCapture, Capture, read_folder
+
+FOLDER = click.argument("folder", type=click.Path(path_type=Path))
+
+
+@click.group()
+def hooks() -> None:
+    """Write, test and try hooks. A FOLDER holds files named *.hook; their order by name is their standing.
+
+    \b
+    wellhitch hooks check hooks/            what is wrong, with line, column and a hint
+    wellhitch hooks test hooks/             the tests beside the hooks
+    wellhitch hooks explain hooks/ --call '{"use_case": "card-lock"}'
+    wellhitch hooks run hooks/ --day days/bad.jsonnet
+    """
+
+
+def texts_of(folder: Path) -> dict[str, str]:
+    """All hook files of a folder. Raises Faults."""
+    if not folder.is_dir():
+        raise Faults(str(folder), ["no such folder"])
+    files = sorted(folder.glob("*.hook"))
+    if not files:
+        raise Faults(str(folder), ["no files *.hook in it"])
+    try:
+        return {file.name: file.read_text(encoding="utf-8") for file in files}
+    except (OSError, UnicodeDecodeError) as fault:
+        raise Faults(str(folder), [str(fault)]) from None
+
+
+def loaded(folder: Path) -> Version:
+    """A folder's version; what is wrong is told and ends the command with 1."""
+    with told_plainly():
+        texts = texts_of(folder)
+    try:
+        return load(texts, Parser())
+    except BadHooks as bad:
+        click.echo(str(bad), err=True)
+        sys.exit(1)
+
+
+@hooks.command()
+@FOLDER
+def check(folder: Path) -> None:
+    """Tell what is wrong with the files of FOLDER, without running them.
+
+    \b
+    Example: wellhitch hooks check hooks/
+    """
+    with told_plainly():
+        texts = texts_of(folder)
+    parser, wrong = Parser(), 0
+    for name, text in texts.items():
+        try:
+            faults = check_file(parser.parse(text, name))
+        except BadHooks as bad:
+            faults = bad.faults
+        wrong += len(faults)
+        for fault in faults:
+            click.echo(str(fault), err=True)
+    if wrong:
+        sys.exit(1)
+    click.echo(f"{len(texts)} files, without faults")
+
+
+@hooks.command()
+@FOLDER
+def test(folder: Path) -> None:
+    """Run the tests that stand beside the hooks of FOLDER.
+
+    \b
+    Example: wellhitch hooks test hooks/
+    """
+    with told_plainly():
+        texts = texts_of(folder)
+    parser, passed, failed = Parser(), 0, 0
+    for name, text in texts.items():
+        try:
+            file = parser.parse(text, name)
+            wrong = check_file(file)
+            if not wrong:
+                wrong = run_tests(compiled(file, Budget(LOAD_STEPS, LOAD_STEPS)))
+                passed += len(file.tests) - len(wrong)
+        except BadHooks as bad:
+            wrong = bad.faults
+        except HookFault as fault:
+            click.echo(f"{name}:{fault.at[0]}:{fault.at[1]}: {fault.text}", err=True)
+            failed += 1
+            continue
+        failed += len(wrong)
+        for one in wrong:
+            click.echo(str(one), err=True)
+    click.echo(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+@hooks.command("format")
+@FOLDER
+@click.option(
+    "--check", "only_check", is_flag=True, help="change nothing; exit code 1 where a file would change"
+)
+def format_files(folder: Path, only_check: bool) -> None:
+    """Lay the files of FOLDER out: two spaces a block; comments stay.
+
+    \b
+    Example: wellhitch hooks format hooks/
+    """
+    with told_plainly():
+        texts = texts_of(folder)
+    changed = [name for name, text in texts.items() if lay_out(text) != text]
+    for name in changed:
+        click.echo(f"{name}: {'would be ' if only_check else ''}laid out anew")
+        if not only_check:
+            (folder / name).write_text(lay_out(texts[name]), encoding="utf-8")
+    sys.exit(1 if changed and only_check else 0)
+
+
+@hooks.command()
+@FOLDER
+@click.option(
+    "--call", "call_json", default="{}", help="fields of the call, as JSON; what is left out is usual"
+)
+@click.option("--hour", type=click.IntRange(0, 23), default=12, show_default=True)
+def explain(folder: Path, call_json: str, hour: int) -> None:
+    """Tell what each hook of FOLDER says of one dialogue, and what it costs.
+
+    \b
+    Example: wellhitch hooks explain hooks/ --call '{"use_case": "card-lock"}'
+    """
+    version = loaded(folder)
+    usual = {"id": 1, "use_case": "balance-check", "destination": 1, "called": "0800123", "left": 3_000_000}
+    try:
+        given = msgspec.json.decode(call_json.encode(), type=dict[str, object])
+        known = set(frames.Call.__struct_fields__)
+        if unknown := sorted(set(given) - known):
+            raise msgspec.ValidationError(f"no field {unknown[0]!r}; known are {', '.join(sorted(known))}")
+        fields = [{**usual, **given}.get(name, default) for name, default in _call_fields()]
+        made = msgspec.convert(["Call", *fields], frames.Call)
+    except msgspec.MsgspecError as fault:
+        at = re.search(r"\$\[(\d+)\]", str(fault))
+        name = f"{frames.Call.__struct_fields__[int(at[1]) - 1]}: " if at else ""
+        click.echo(f"--call: {name}{str(fault).partition(' - at')[0]}", err=True)
+        sys.exit(2)
+    facts = facts_of(made, 0, hour * 3600 * 1_000_000)
+    inputs = {name: as_value(facts[name], wanted) for name, wanted in POINTS["arrive"].inputs.items()}
+    use_cases = frozenset({made.use_case, "balance-check", "card-lock", "loan-simulation"})
+    for program in version.programs:
+        if "arrive" not in program.hooks:
+            continue
+        budget = Budget(STEPS, MEMORY)
+        try:
+            value = program.run("arrive", inputs, budget)
+            said = shown(read_answer("arrive", value, use_cases))
+            click.echo(
+                f"{program.file.name}: {said}  (returned {text_of(value, Budget())}; {STEPS - budget.steps} steps)"
+            )
+        except HookFault as fault:
+            click.echo(f"{program.file.name}:{fault.at[0]}:{fault.at[1]}: fails: {fault.text}")
+        except BadAnswer as bad:
+            click.echo(f"{program.file.name}: its answer is not taken: {bad}")
+
+
+def _call_fields() -> list[tuple[str, object]]:
+    """Fields of a Call with what they are where nothing is given."""
+    return [
+        (one.name, None if one.default is msgspec.NODEFAULT else one.default)
+        for one in msgspec.structs.fields(frames.Call)
+    ]
+
+
+@hooks.command("run")
+@FOLDER
+@click.option("--capture", type=click.Path(path_type=Path), help="a folder that `day play --capture` wrote")
+@click.option(
+    "--day",
+    "day_file",
+    type=click.Path(path_type=Path),
+    help="a day to play in virtual time, with and without",
+)
+def run_hooks(folder: Path, capture: Path | None, day_file: Path | None) -> None:
+    """Play a captured day's arrivals through the hooks of FOLDER, or a whole day with them and without.
+
+    \b
+    Example: wellhitch hooks run hooks/ --day days/bad.jsonnet
+    """
+    if (capture is None) == (day_file is None):
+        raise click.UsageError("either --capture or --day")
+    version = loaded(folder)
+    if capture is not None:
+        click.echo(page(run(version, _captures(capture))))
+        return
+    assert day_file is not None
+    with told_plainly():
+        made = read_day(day_file)
+        texts = texts_of(folder)
+    without = play_virtual(msgspec.structs.replace(made, hooks={}))
+    within = play_virtual(msgspec.structs.replace(made, hooks=texts))
+    click.echo(page(run(version, without.captures)))
+    click.echo("\nwithout hooks: " + service_page(without.service))
+    click.echo("\nwith hooks: " + service_page(within.service))
+    click.echo(verdict_page(within.verdict))
+    sys.exit(1 if within.verdict.breaks else 0)
+
+
+@hooks.command()
+@FOLDER
+@click.argument("other", type=click.Path(path_type=Path))
+@click.option("--capture", type=click.Path(path_type=Path), required=True, help="a folder of captures")
+def shadow(folder: Path, other: Path, capture: Path) -> None:
+    """Tell how the hooks of OTHER differ from those of FOLDER on a captured day's arrivals.
+
+    \b
+    Example: wellhitch hooks shadow hooks/ new-hooks/ --capture /tmp/bad-day
+    """
+    captures = _captures(capture)
+    click.echo(differences(run(loaded(folder), captures), run(loaded(other), captures)))
+
+
+def _captures(folder: Path) -> list[Capture]:
+    try:
+        return read_folder(folder)
+    except BadCapture as fault:
+        click.echo(f"cannot be read: {fault}", err=True)
+        sys.exit(2)
--- a/wellhitch/cli/main.py
+++ b/wellhitch/cli/main.py
@@ -4,6 +4,7 @@
 
 from wellhitch.cli.check import check
 from wellhitch.cli.day import day
+from wellhitch.cli.hooks import hooks
 from wellhitch.cli.judge import judge
 from wellhitch.cli.measure import measure
 from wellhitch.cli.serve import serve
@@ -18,6 +19,7 @@
     wellhitch serve FILE.jsonnet     run one exchange's call server
     wellhitch day play FILE.jsonnet  play a day against stand-ins and judge it
     wellhitch judge FOLDER           settle the five rules from captures
+    wellhitch hooks test FOLDER      tools for those who write hooks
     wellhitch measure server         figures of this machine, beside a baseline
     """
 
@@ -26,4 +28,5 @@
 main.add_command(check)
 main.add_command(day)
 main.add_command(judge)
+main.add_command(hooks)
 main.add_command(measure)
--- a/wellhitch/cli/measure.py
+++ b/wellhitch/cli/measure.py
@@ -3,9 +3,7 @@
 import click
 
 from wellhitch.lab.measure import Measured, decide_alone
-
-FLEETS = (26, 62, 200)
-RATES = (8.4, 100.0, 520.0)  # 8.4: 520 a second over 62 exchanges
+from wellhitch.lab.measure_hooks import TEN_LINES, report
 
 
 @click.group()
@@ -13,6 +11,37 @@
     """Measurements, each beside a baseline in the same run."""
 
 
+@measure.command()
+@click.option(
+    "--seconds", type=float, default=4.0, show_default=True, help="of each measurement over loopback"
+)
+def hooks(seconds: float) -> None:
+    """What hooks cost, beside plain Python and beside no hooks.
+
+    \b
+    Example: wellhitch measure hooks
+    """
+    for line in report():
+        click.echo(line)
+    # By turns, three times each: on a shared machine the minutes differ more than the two do.
+    kinds = {"no hooks": Measured(62), "a ten-line hook": Measured(62, hooks={"ten": TEN_LINES})}
+    turns = [{name: served.full(seconds).per_s for name, served in kinds.items()} for _ in range(3)]
+    for served in kinds.values():
+        served.close()
+    rates = {name: sorted(turn[name] for turn in turns)[1] for name in kinds}
+    share = sorted(turn["a ten-line hook"] / turn["no hooks"] for turn in turns)[1]
+    click.echo("one call server process over loopback, 62 offices, dialogues a second")
+    click.echo(
+        "  "
+        + ", ".join(f"{name} {rate:.0f}" for name, rate in rates.items())
+        + f"; median of ratios {share:.0%}"
+    )
+
+
+FLEETS = (26, 62, 200)
+RATES = (8.4, 100.0, 520.0)  # 8.4: 520 a second over 62 exchanges
+
+
 @measure.command()
 @click.option("--seconds", type=float, default=4.0, show_default=True, help="of each measurement")
 def server(seconds: float) -> None:
--- a/wellhitch/hooks/host.py
+++ b/wellhitch/hooks/host.py
@@ -67,6 +67,10 @@
     mark: str
     programs: tuple[Program, ...]
 
+    def at(self, point: str) -> tuple[Program, ...]:
+        """The files with a hook at a point, by standing."""
+        return tuple(program for program in self.programs if point in program.hooks)
+
 
 def load(texts: Mapping[str, str], parser: Parser) -> Version:
     """Read, check and test all files; their names' order is their standing. Raises tree.BadHooks with all faults:
@@ -104,7 +108,9 @@
 
 
 def as_value(given: Any, wanted: Type) -> Value:
-    """A fact of the server as a value of the language, by the point's type."""
+    """A fact of the server as a value of the language, by the point's type; a record that is one already stays."""
+    if isinstance(given, Record):
+        return given
     if isinstance(wanted, dict):
         return Record({name: as_value(given[name], inner) for name, inner in wanted.items()}, 1)
     if wanted == "duration":
@@ -141,6 +147,13 @@
     shadow: "Hooks | None" = None
     canary: int = 0
 
+    def __post_init__(self) -> None:
+        self._at = {point: self.version.at(point) for point in POINTS}
+
+    def wants(self, point: str) -> bool:
+        """Whether any hook, or the shadow's, stands at a point: facts need not be gathered for nobody."""
+        return bool(self._at[point]) or (self.shadow is not None and self.shadow.wants(point))
+
     def try_beside(self, version: Version) -> None:
         """Run another version beside this one from now on. What files remember is copied to start with."""
         kept = {name: Kept() for name in self.kept}
@@ -180,6 +193,7 @@
         """Another version from now on. What files remember stays with their names; benches start over."""
         self.log("hooks_swapped", before=self.version.mark, after=version.mark)
         self.version = version
+        self.__post_init__()
         self.standings.clear()
         self.drop_shadow()
 
@@ -187,7 +201,7 @@
         """What all hooks of a point say together. Never raises: a hook that fails is passed over.
 
         Of two that contradict each other the one of higher standing holds; favours multiply, within bounds."""
-        programs = [one for one in self.version.programs if point in one.hooks]
+        programs = self._at[point]
         if not programs:
             return Said()
         inputs = {name: as_value(facts[name], wanted) for name, wanted in POINTS[point].inputs.items()}
--- a/wellhitch/hooks/values.py
+++ b/wellhitch/hooks/values.py
@@ -164,12 +164,13 @@
 def same(left: Value, right: Value, budget: Budget) -> bool:
     """Whether two values are equal; of different kinds they are not."""
     if isinstance(left, Items) and isinstance(right, Items):
-        budget.pay(min(len(left.items), len(right.items)))
+        # Two a pair: shared lists are compared as often as they stand, and that is the slowest work a step does.
+        budget.pay(2 + 2 * min(len(left.items), len(right.items)))
         return len(left.items) == len(right.items) and all(
             same(a, b, budget) for a, b in zip(left.items, right.items, strict=True)
         )
     if isinstance(left, Record) and isinstance(right, Record):
-        budget.pay(min(len(left.fields), len(right.fields)))
+        budget.pay(2 + 2 * min(len(left.fields), len(right.fields)))
         return left.fields.keys() == right.fields.keys() and all(
             same(value, right.fields[name], budget) for name, value in left.fields.items()
         )
--- a/wellhitch/lab/measure.py
+++ b/wellhitch/lab/measure.py
@@ -134,7 +134,9 @@
     known[number] = made.address
 
 
-def server_process(pipe: Connection, relay: bool, offices: int, known: dict[int, str]) -> None:
+def server_process(
+    pipe: Connection, relay: bool, offices: int, known: dict[int, str], hooks: dict[str, str]
+) -> None:
     """The measured call server at number 0, with a register of its own beside it."""
 
     async def run() -> None:
@@ -149,7 +151,9 @@
             return (Relay if relay else Switch)(opened, max_open, outlet)
 
         doors = Doors("127.0.0.1:0", "", "", register[0], "")
-        daemon = Daemon(loop, LoopbackNetwork(loop), facts(0, offices), doors, 1 << 20, 1, _silent, make)
+        daemon = Daemon(
+            loop, LoopbackNetwork(loop), facts(0, offices), doors, 1 << 20, 1, _silent, make, hooks
+        )
         daemon.start()
         while (
             "callers" not in daemon.listeners or sum(e.up for e in daemon.switch.offices.values()) < offices
@@ -271,7 +275,7 @@
 class Measured:
     """One call server process with its offices, for as long as it is needed."""
 
-    def __init__(self, offices: int, relay: bool = False) -> None:
+    def __init__(self, offices: int, relay: bool = False, hooks: dict[str, str] | None = None) -> None:
         context = multiprocessing.get_context("spawn")
         self.offices = offices
         self._running: list[tuple[Any, Connection]] = []
@@ -279,7 +283,7 @@
         for numbers in ([0], list(range(1, offices))):
             pipe = self._start(context, offices_process, numbers, offices, 0)
             known.update(pipe.recv())
-        self.pipe = self._start(context, server_process, relay, offices, known)
+        self.pipe = self._start(context, server_process, relay, offices, known, hooks or {})
         self.address: str = self.pipe.recv()
 
     def _start(self, context: Any, work: Callable[..., None], *args: Any) -> Connection:
--- /dev/null
+++ b/wellhitch/lab/measure_hooks.py
@@ -0,0 +1,117 @@
+"""Measures hooks: what a call costs by each way of running it beside the same rule in plain Python, how soon the worst
+program is stopped, and how long two hundred files take to load."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from wellhitch.hooks.closures import compiled
+from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.host import MEMORY, STEPS, Hooks, as_value, load
+from wellhitch.hooks.points import POINTS
+from wellhitch.hooks.values import Budget, HookFault, Value
+from wellhitch.hooks.walker import Walker
+from wellhitch.lab.hook_runs import facts_of
+from wellhitch.trunk import frames
+
+TEN_LINES = """let partners = ["north", "south", "east"]
+on arrive {
+  let weight = 1
+  if call.tenant in partners { weight = 0.8 }
+  match call.use_case {
+    "card"* => { weight = weight * 2 }
+    "balance-check" if load.own_price > 0.5 and clock.hour in [9, 10, 11] => { weight = weight * 0.7 }
+  }
+  if starts(text(call.called), "0800") { return {favour: weight, tags: ["free"]} }
+  return {favour: weight}
+}
+"""
+"""A hook of ten lines, as staff write them."""
+
+WORST = {
+    "a loop that does nothing": "let n = 0 while n >= 0 { n = n + 1 n = n - 1 }",
+    "an empty loop": "for i in 9000000 { }",
+    "a list doubled": "let a = [1] while length(a) > 0 { a = a + a }",
+    "a text doubled": 'let a = "x" while length(a) > 0 { a = a + a }',
+    "long texts searched": 'let a = "abcdefgh" for i in 12 { a = a + a } for i in 9000 { let x = "zz" in a }',
+    "long texts compared": 'let a = "abcdefgh" for i in 12 { a = a + a } let b = a + "" while a == b { b = b }',
+    "deep calls": "let x = f(0)",
+    "a record that grows": 'let a = {} let n = 0 while n >= 0 { n = n + 1 a["k" + text(n)] = n }',
+    "lists pushed": "let a = [] while true { a = push(a, 1) if length(a) < 0 { break } }",
+    "shared lists compared": "let a = [1] for i in 14 { a = [a, a] } let b = [a] let c = [a] while b == c { b = b }",
+}
+
+
+def in_python(call: dict[str, Any], hour: int, own_price: float) -> dict[str, Any]:
+    """The ten-line hook as plain Python."""
+    weight = 1.0
+    if call["tenant"] in ("north", "south", "east"):
+        weight = 0.8
+    use_case = call["use_case"]
+    if use_case.startswith("card"):
+        weight = weight * 2
+    elif use_case == "balance-check" and own_price > 0.5 and hour in (9, 10, 11):
+        weight = weight * 0.7
+    if str(call["called"]).startswith("0800"):
+        return {"favour": weight, "tags": ["free"]}
+    return {"favour": weight}
+
+
+def _median(work: Callable[[], object], times: int) -> float:
+    """Median time of a run, in us."""
+    took = []
+    for _ in range(times):
+        began = time.perf_counter_ns()
+        work()
+        took.append(time.perf_counter_ns() - began)
+    return sorted(took)[len(took) // 2] / 1000
+
+
+def report(times: int = 3000) -> list[str]:
+    """All measurements as lines."""
+    parser = Parser()
+    call = frames.Call(1, "card-lock", 3, "0800123", 3_000_000)
+    facts = facts_of(call, 0, 9 * 3600 * 1_000_000)
+    inputs: dict[str, Value] = {name: as_value(facts[name], t) for name, t in POINTS["arrive"].inputs.items()}
+    file = parser.parse(TEN_LINES, "ten")
+    program = compiled(file, Budget())
+    walker = Walker(file, Budget())
+
+    def walk() -> None:
+        walker.budget = Budget(STEPS, MEMORY)
+        walker.run("arrive", inputs)
+
+    hooks = Hooks(load({"ten": TEN_LINES}, parser), frozenset({"card-lock"}), lambda event, **f: None)
+    clock = [0]
+
+    def host() -> None:
+        clock[0] += 10_000
+        hooks.said("arrive", inputs, "k", clock[0])
+
+    plain = _median(lambda: in_python(facts["call"], 9, 0.2), times)
+    closures = _median(lambda: program.run("arrive", inputs, Budget(STEPS, MEMORY)), times)
+    out = ["a ten-line hook, median of a call"]
+    for name, took in (
+        ("plain Python", plain),
+        ("closures", closures),
+        ("tree walker", _median(walk, times)),
+        ("whole: hook, its answer, benches", _median(host, times)),
+    ):
+        out.append(f"  {name:36} {took:8.2f} us   {took / plain:5.1f} x plain Python")
+    out.append(f"time to stop the worst programs, a budget of {STEPS} steps and {MEMORY} cells")
+    for name, body in WORST.items():
+        worst = compiled(
+            parser.parse("function f(x) { return f(x + 1) } on arrive { " + body + " }", "w"), Budget()
+        )
+        began = time.perf_counter()
+        kind = "ended"
+        try:
+            worst.run("arrive", inputs, Budget(STEPS, MEMORY))
+        except HookFault as fault:
+            kind = fault.kind
+        out.append(f"  {name:36} {(time.perf_counter() - began) * 1000:8.2f} ms   {kind}")
+    many = {f"{at:03}": TEN_LINES for at in range(200)}
+    began = time.perf_counter()
+    load(many, parser)
+    out.append(f"200 hooks of ten lines read, checked and compiled in {time.perf_counter() - began:.2f} s")
+    return out
--- a/wellhitch/server/hooked.py
+++ b/wellhitch/server/hooked.py
@@ -2,17 +2,18 @@
 a hook's reaches a route, a dial or a time-out."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, field
 
 from wellhitch.hooks.host import Hooks
 from wellhitch.hooks.points import Said
+from wellhitch.hooks.values import Record, Span, Value
 from wellhitch.interface.state import Exchange
 from wellhitch.server.dials import OfficeEnd, Taken
 from wellhitch.trunk import frames
 from wellhitch.trunk.circuits import Group
 
-TICK = 1_000_000  # us between runs of `on tick`
+SECOND = 1_000_000
+TICK = SECOND  # us between runs of `on tick`
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,60 +37,69 @@
     number: int
     clock: WallClock = NO_CLOCK
     began: int = 0
-
-    def _clock(self, now: int) -> dict[str, Any]:
-        second, weekday, date = self.clock.at(now)
-        return {
+    _shown_at: int = -1
+    _shown: tuple[int, int, str] = (0, 1, "")
+    _place: Record = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._place = Record({"number": self.number}, 1)
+
+    def _clock(self, now: int) -> Record:
+        if now // SECOND != self._shown_at:
+            self._shown_at, self._shown = now // SECOND, self.clock.at(now)
+        second, weekday, date = self._shown
+        fields: dict[str, Value] = {
             "hour": second // 3600,
             "minute": second // 60 % 60,
             "weekday": weekday,
             "date": date,
-            "since_start": now - self.began,
+            "since_start": Span(now - self.began),
+        }
+        return Record(fields, 1)
+
+    def _call(self, call: frames.Call | Taken, redialled: bool, left: int) -> Record:
+        fields: dict[str, Value] = {
+            "use_case": call.use_case,
+            "destination": call.destination,
+            "called": call.called,
+            "width": call.width,
+            "redialled": redialled,
+            "transit": False,
+            "tenant": call.tenant,
+            "left": Span(left),
         }
+        return Record(fields, 1)
 
     def arrives(
         self, call: frames.Call, held: int, groups: Mapping[int, Group], now: int
     ) -> tuple[Said, str]:
         """What is said of a dialogue before it is told to the decisions, and by which version."""
+        if not self.hooks.wants("arrive"):
+            return Said(), self.hooks.decides(call.called).version.mark
         there = self.exchange.by_number.get(call.destination)
         group = groups.get(call.destination)
+        load: dict[str, Value] = {
+            "held": held,
+            "own_price": self.exchange.own_price,
+            "price_there": there.price if there else 0.0,
+            "free_there": group.free if group else None,
+        }
         facts = {
-            "call": {
-                "use_case": call.use_case,
-                "destination": call.destination,
-                "called": call.called,
-                "width": call.width,
-                "redialled": call.redialled,
-                "transit": False,
-                "tenant": call.tenant,
-                "left": call.left,
-            },
+            "call": self._call(call, call.redialled, call.left),
             "clock": self._clock(now),
-            "load": {
-                "held": held,
-                "own_price": self.exchange.own_price,
-                "price_there": there.price if there else 0.0,
-                "free_there": group.free if group else None,
-            },
-            "place": {"number": self.number},
+            "load": Record(load, 1),
+            "place": self._place,
         }
         return self.hooks.consult("arrive", facts, call.tenant or call.use_case, now, call.called)
 
     def answered(self, taken: Taken, answer: str, left: int, now: int) -> tuple[str, ...]:
         """The tags of a dialogue that gets its final answer."""
+        if not self.hooks.wants("answer"):
+            return taken.tags
         facts = {
-            "call": {
-                "use_case": taken.use_case,
-                "destination": taken.destination,
-                "called": taken.called,
-                "width": taken.width,
-                "redialled": False,
-                "transit": False,
-                "tenant": taken.tenant,
-                "left": left,
-            },
+            "call": self._call(taken, False, left),
             "clock": self._clock(now),
-            "place": {"number": self.number},
+            "place": self._place,
             "answer": answer,
             "took": now - taken.came,
             "tags": taken.tags,
@@ -99,18 +109,22 @@
 
     def listed(self, end: OfficeEnd, now: int) -> str | None:
         """A mark for an office of which the list's line changed."""
+        if not self.hooks.wants("list"):
+            return None
         facts = {
             "office": {"id": end.id, "number": end.number, "standing": end.standing.name.lower()},
             "clock": self._clock(now),
-            "place": {"number": self.number},
+            "place": self._place,
         }
         return self.hooks.consult("list", facts, end.id, now, None)[0].mark
 
     def tick(self, held: int, now: int) -> None:
         """Once a second."""
+        if not self.hooks.wants("tick"):
+            return
         facts = {
             "clock": self._clock(now),
             "load": {"held": held, "own_price": self.exchange.own_price},
-            "place": {"number": self.number},
+            "place": self._place,
         }
         self.hooks.consult("tick", facts, "tick", now, None)
