Patterns and costs of the hooks' language stand in rooms of their own

The tree walker took two private functions from the closures it is held against. They are neither's: patterns.py and cost.py have them.

--- a/wellhitch/hooks/closures.py
+++ b/wellhitch/hooks/closures.py
@@ -8,7 +8,8 @@
 
 from wellhitch.hooks import tree
 from wellhitch.hooks import values as v
-from wellhitch.hooks.cost import size, weight
+from wellhitch.hooks.cost import own_size, size, weight
+from wellhitch.hooks.patterns import fits
 from wellhitch.hooks.points import POINTS
 from wellhitch.hooks.values import Budget, HookFault, Value
 
@@ -150,7 +151,7 @@
 
     def statement(self, s: tree.Statement) -> Run:
         inner = self._statement(s)
-        cost, at = 1 + _own_size(s), s.at
+        cost, at = 1 + own_size(s), s.at
 
         def run(f: Frame) -> int:
             budget = f.budget
@@ -313,34 +314,6 @@
         return lambda f: builtin(*[one(f) for one in evals], f.budget)
 
 
-def _own_size(s: tree.Statement) -> int:
-    """Nodes of a statement's own expressions, without those of its blocks. A loop pays for its condition itself."""
-    match s:
-        case tree.Let(_, _, value) | tree.For(_, _, value, _) | tree.Expect(_, value) | tree.Do(_, value):
-            return size(value)
-        case tree.Assign(_, _, path, value):
-            return size(value) + sum(size(key) for key in path if not isinstance(key, str))
-        case tree.Branch(_, ways, _):
-            return sum(size(condition) for condition, _ in ways)
-        case tree.Match(_, value, arms):
-            return size(value) + sum(size(arm.guard) for arm in arms if arm.guard)
-        case tree.Return(_, value):
-            return size(value) if value else 0
-    return 0
-
-
-def fits(pattern: tree.Pattern, value: Value, budget: Budget) -> bool:
-    """Whether a value fits a pattern."""
-    match pattern:
-        case tree.SamePattern(_, wanted):
-            return v.same(value, wanted, budget)
-        case tree.RangePattern(_, low, high):
-            return v.in_range(value, low, high)
-        case tree.PrefixPattern(_, prefix):
-            return isinstance(value, str) and value.startswith(prefix)
-    return True
-
-
 def _set(place: int, made: Eval) -> Run:
     def run(f: Frame) -> int:
         f.places[place] = made(f)
--- /dev/null
+++ b/wellhitch/hooks/patterns.py
@@ -0,0 +1,17 @@
+"""Whether a value fits a pattern of a match."""
+
+from wellhitch.hooks import tree
+from wellhitch.hooks import values as v
+from wellhitch.hooks.values import Budget, Value
+
+
+def fits(pattern: tree.Pattern, value: Value, budget: Budget) -> bool:
+    """Whether a value fits a pattern."""
+    match pattern:
+        case tree.SamePattern(_, wanted):
+            return v.same(value, wanted, budget)
+        case tree.RangePattern(_, low, high):
+            return v.in_range(value, low, high)
+        case tree.PrefixPattern(_, prefix):
+            return isinstance(value, str) and value.startswith(prefix)
+    return True
--- a/wellhitch/hooks/walker.py
+++ b/wellhitch/hooks/walker.py
@@ -5,8 +5,8 @@
 
 from wellhitch.hooks import tree
 from wellhitch.hooks import values as v
-from wellhitch.hooks.closures import _own_size, fits
-from wellhitch.hooks.cost import size, weight
+from wellhitch.hooks.cost import own_size, size, weight
+from wellhitch.hooks.patterns import fits
 from wellhitch.hooks.points import POINTS
 from wellhitch.hooks.values import Budget, HookFault, Value
 
@@ -67,7 +67,7 @@
         inner = [*env, {}]
         for s in block.statements:
             self.budget.used_at = s.at
-            self.budget.pay(1 + _own_size(s))
+            self.budget.pay(1 + own_size(s))
             self.statement(s, inner)
 
     def statement(self, s: tree.Statement, env: list[dict[str, Value]]) -> None:
