--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -318,3 +318,37 @@
         "office-2",
     }
     assert seen["groups"]["1"]["size"] == 20 and seen["counts"]["taken"] > 10
+
+
+@pytest.mark.parametrize(
+    "troubles",
+    [
+        # Found by drawing days at random: each broke a rule by the judge's eyes, lost a circuit, or fell over itself.
+        [
+            trouble("reads_nothing", at="2s", length="4s", on=[1]),
+            trouble("answer_lost", at="1s", length="8s", size=0.5),
+        ],
+        [
+            trouble("half_open", at="2s", length="2s", on=[1]),
+            trouble("half_open", at="3s", length="3s", on=[1, 2]),
+        ],
+        [
+            trouble("half_open", at="2s", length="8s", on=[0]),
+            trouble("answer_lost", at="1s", length="8s", size=0.5),
+        ],
+        [
+            trouble("server_killed", at="2s", length="3s", on=[0]),
+            trouble("server_killed", at="3s", length="5s", on=[0, 1]),
+        ],
+        [
+            trouble("server_paused", at="2s", length="3s", on=[0]),
+            trouble("server_killed", at="3s", length="60s", on=[0]),
+        ],
+    ],
+    ids=lambda troubles: "+".join(one["kind"] for one in troubles),
+)
+def test_troubles_that_meet(troubles: list[dict[str, Any]]) -> None:
+    groups = [{"ends": [0, 2], "size": 40}, {"ends": [1, 2], "size": 40}]
+    for over in ({}, {"groups": groups, "limits": {"may_tell_peers": True}}):
+        done = played(day(rate=15, setup="1ms", troubles=troubles, **over))
+        assert done.verdict.breaks == [] and not done.left_open and not done.lost_circuits
--- a/tests/test_hooks_language.py
+++ b/tests/test_hooks_language.py
@@ -161,6 +161,7 @@
         ("on arrive { return let y = 1 }", "this is never reached"),
         ("on arrive { while true { let x = 1 } }", "this loop never ends"),
         ("on arrive { break }", "break outside of a loop"),
+        ("on arrive { retrun 5 }", "no name retrun (is return meant?)"),
         ("on arrive { lenght([1]) }", "no function lenght (is length meant?)"),
         ("on arrive { length(1, 2) }", "length takes 1 values, not 2"),
         ("on arrive { 5 }", "this does nothing"),
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -103,3 +103,26 @@
     assert ends.b.rate_pauses == 1 and len(ends.office.got) < whole
     ends.loop.advance(2)
     assert len(ends.office.got) == whole
+
+
+def test_silence_that_ends_in_time_loses_nothing(ends: TwoEnds) -> None:
+    ends.net.spoil("s", "o").silent = True
+    ends.a.send(frames.Cancel(1))
+    ends.loop.advance(1)
+    assert ends.office.got == []
+    ends.net.spoil("s", "o").silent = False
+    ends.net.heal("s", "o")
+    ends.a.send(frames.Cancel(2))
+    ends.loop.advance(0.5)
+    assert ends.office.got == [frames.Cancel(1), frames.Cancel(2)] and not ends.server.down
+
+
+def test_an_end_whose_other_end_closed_in_the_silence_sees_a_reset_once_it_is_over(ends: TwoEnds) -> None:
+    ends.net.spoil("s", "o").silent = True
+    ends.a.fail("test", tell=False)
+    ends.loop.advance(0.5)
+    assert ends.office.down == []
+    ends.net.spoil("s", "o").silent = False
+    ends.net.heal("s", "o")
+    ends.loop.advance(0.5)
+    assert ends.office.down == ["reset"]
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -341,9 +341,22 @@
     bench = Bench(max_open=1)
     bench.call(id=1)
     bench.call(id=2)
+    assert bench.finals == ["pushed_back"] and bench.switch.counts["turned_away.max_open"] == 1
+    bench = Bench()
     bench.switch.call("link", frames.Call(3, "unheard-of", 1, None, SECOND), 0)
     bench.switch.call("link", frames.Call(4, "cheap", 1, None, 0), 0)
-    assert bench.finals == ["pushed_back"] * 3 and len(bench.switch.taken) == 1
+    bench.switch.call("link", frames.Call(5, "cheap", 1, "9" * 65, SECOND), 0)
+    assert bench.finals == ["pushed_back"] * 3 and not bench.switch.taken
+    for why in ("unknown_use_case", "no_time_or_width", "text_too_long"):
+        assert bench.switch.counts[f"turned_away.{why}"] == 1
+
+
+def test_a_call_with_an_id_that_is_open_is_skipped_and_the_first_gets_its_one_answer(bench: Bench) -> None:
+    setup = bench.dial(id=1)
+    bench.call(id=1)
+    bench.switch.answered("o1", frames.Answer(setup.ref), 0)
+    bench.pass_own()
+    assert bench.finals == ["stands"] and bench.switch.counts["strays.Call"] == 1
 
 
 def test_twenty_thousand_dialogues_are_held_and_all_answered() -> None:
--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -17,7 +17,8 @@
 
 @dataclass(slots=True, eq=False)
 class Weather:
-    """What is wrong between two hosts now. `silent`: bytes vanish and nobody is told (half-open).
+    """What is wrong between two hosts now. `silent`: bytes do not arrive and nobody is told (half-open); as with
+    TCP none is lost while the link lives: they come once it is over.
     `trickle`: bytes arrive one by one. `late`: us more on the way. `broken`: no new link comes up."""
 
     silent: bool = False
@@ -38,6 +39,7 @@
         self.closing = False
         self.reading = True
         self.arrived: list[bytes] = []
+        self.stalled: list[bytes] = []  # written while the network was silent
         self.unread = 0  # bytes written here and not yet read there
         self.held = False  # the protocol was told to pause
         self.last_due = 0.0
@@ -52,6 +54,7 @@
             return
         self.unread += len(data)
         if self.net.weather(self.here, self.there).silent:
+            self.stalled.append(bytes(data))
             self._pressure()
             return
         due = self.net.due(self)
@@ -218,6 +221,20 @@
         """The open ends at `here` of links with `there`."""
         return [pipe for pipe in self.pipes if pipe.here == here and pipe.there == there]
 
+    def heal(self, here: str, there: str) -> None:
+        """Silence between two hosts is over: what was written arrives now, in order; an end whose other end closed
+        meanwhile sees a reset."""
+        for pipe in self.links(here, there) + self.links(there, here):
+            other = pipe.other
+            if other is None:
+                continue
+            if other.closing:
+                self.loop.call_at(self.due(pipe), pipe._lost, ConnectionResetError("reset"))
+                continue
+            for data in pipe.stalled:
+                self.loop.call_at(self.due(pipe), other._arrive, data)
+            pipe.stalled.clear()
+
     def cut(self, here: str, there: str) -> int:
         """Reset every link between two hosts; returns how many."""
         found = self.links(here, there)
--- a/wellhitch/hooks/check.py
+++ b/wellhitch/hooks/check.py
@@ -8,6 +8,7 @@
 from wellhitch.hooks.values import BUILTINS, kind
 
 ANY: Type = "any"
+KEYWORDS = ("return", "break", "continue", "else", "while", "match", "true", "false", "none", "expect")
 _ARITHMETIC = {
     ("+", "number"),
     ("+", "text"),
@@ -203,7 +204,8 @@
             case tree.Name(at, name):
                 found = self.scope.find(name)
                 if found is None:
-                    self.say(at, f"no name {name}", _near(name, [n for b in self.scope.blocks for n in b]))
+                    names = [n for b in self.scope.blocks for n in b]
+                    self.say(at, f"no name {name}", _near(name, [*names, *KEYWORDS]))
                     return ANY
                 return found
             case tree.Unary(_, op, value):
--- a/wellhitch/judge/rules.py
+++ b/wellhitch/judge/rules.py
@@ -75,7 +75,7 @@
     for capture in by_party["office"]:
         _one_answer_in_transit(capture, figures, outages, verdict)
         _cold(capture, figures, verdict)
-    _dials(by_party["office"], figures, verdict)
+    _dials(world, by_party["office"], figures, verdict)
     _drains(by_party["register"], by_party["office"], figures, outages, verdict)
     if not verdict.seen["dialogues"]:
         raise BadCapture("no dialogue in any capture: nothing to judge")
@@ -200,6 +200,8 @@
     handed: dict[tuple[int, int], _Owed] = {}
     last = 0
 
+    unread = _unread(capture, figures.way)
+
     def broken(t: int, text: str) -> None:
         verdict.breaks.append(Break(1, t, server, f"{capture.name}: {text}"))
 
@@ -207,6 +209,8 @@
         due = (
             owed.t + owed.left + 2 * figures.way
         )  # the call server has it later by a way, and answers by one
+        if any(begin <= due and end >= owed.t for begin, end in unread):
+            return  # an answer may lie unread
         if owed.answered is None and now > due and not outages.touches(server, owed.t, due):
             broken(due, f"transit {ref}: no answer within its {owed.left} us")
 
@@ -254,6 +258,44 @@
 # ---- rules 2 and 5 ----
 
 
+def _unread(capture: Capture, way: int) -> list[tuple[int, int]]:
+    """Spans in which a party read nothing, each with a way more: what is read at their end was sent within them."""
+    out: list[tuple[int, int]] = []
+    began: int | None = None
+    for line in capture.lines:
+        if isinstance(line, Note) and line.what == "reads_nothing":
+            began = line.t if began is None else began
+        elif isinstance(line, Note) and line.what in ("reads_on", "stopped") and began is not None:
+            out.append((began, line.t + way))
+            began = None
+    if began is not None:
+        out.append((began, 1 << 62))
+    return out
+
+
+def _silences(world: Capture, way: int) -> dict[tuple[int, str], list[tuple[int, int]]]:
+    """Spans in which bytes between a call server and an office did not arrive, by server's number and office's name;
+    they came at the end of it."""
+    out: dict[tuple[int, str], list[tuple[int, int]]] = defaultdict(list)
+    began: dict[tuple[int, str], int] = {}
+    for line in world.lines:
+        if not isinstance(line, Note) or line.what not in ("silent", "silent_over"):
+            continue
+        key = (int(line.facts["here"].rpartition("-")[2]), str(line.facts["there"]))
+        if line.what == "silent":
+            began.setdefault(key, line.t)
+        elif key in began:
+            out[key].append((began.pop(key), line.t + 2 * way))
+    for key, t in began.items():
+        out[key].append((t, 1 << 62))
+    return out
+
+
+def _earliest(unread: list[tuple[int, int]], t: int) -> int:
+    """When a frame read at `t` may have come, at the earliest."""
+    return next((begin for begin, end in unread if begin <= t <= end), t)
+
+
 HALF_OPEN = 1_500_000  # us; a link silent for one heartbeat and half another before its end
 
 
@@ -270,9 +312,12 @@
     stood: bool = False
 
 
-def _office_dials(capture: Capture) -> Iterator[tuple[tuple[int, int, int], _Dial]]:
+def _office_dials(
+    capture: Capture, way: int, silences: dict[tuple[int, str], list[tuple[int, int]]]
+) -> Iterator[tuple[tuple[int, int, int], _Dial]]:
     """All set-ups that reached an office, each with its end: (sender, origin, dialogue) -> dial."""
     out: dict[tuple[int, int], _Dial] = {}
+    unread = _unread(capture, way)
     for line in capture.lines:
         if isinstance(line, Note):
             if line.what == "down":
@@ -291,7 +336,9 @@
             dial = out[key] = _Dial(line.number, line.t, capture.name, frame.dial)
             yield (line.number, frame.origin, frame.dialogue), dial
         elif line.way == "in" and isinstance(frame, (frames.Cancel, frames.Release)) and key in out:
-            _gone(out.pop(key), line.t, "called off" if isinstance(frame, frames.Cancel) else "released")
+            how = "called off" if isinstance(frame, frames.Cancel) else "released"
+            late = unread + silences.get((line.number, capture.name), [])
+            _gone(out.pop(key), _earliest(late, line.t), how)
         elif line.way == "out" and isinstance(frame, (frames.PushBack, frames.Cut)) and key in out:
             _gone(out.pop(key), line.t, "pushed back" if isinstance(frame, frames.PushBack) else "reset")
         elif line.way == "out" and isinstance(frame, frames.Answer) and key in out:
@@ -303,13 +350,14 @@
         dial.gone, dial.how = t, how
 
 
-def _dials(offices: list[Capture], figures: Figures, verdict: Verdict) -> None:
+def _dials(world: Capture, offices: list[Capture], figures: Figures, verdict: Verdict) -> None:
     """Rule 2: of one dialogue, no dial reaches an office while an earlier one of the same sender is out.
     Rule 5: none within the release wait of one that was called off or reset. The sender's ways to two offices
     differ by `spread` at most, and so much is allowed."""
     dialled: dict[tuple[int, int, int], list[_Dial]] = defaultdict(list)
+    silences = _silences(world, figures.way)
     for capture in offices:
-        for whose, dial in _office_dials(capture):
+        for whose, dial in _office_dials(capture, figures.way, silences):
             dialled[whose].append(dial)
     for (sender, origin, dialogue), dials in dialled.items():
         dials.sort(key=lambda dial: (dial.t, dial.number))
--- a/wellhitch/lab/play.py
+++ b/wellhitch/lab/play.py
@@ -61,6 +61,8 @@
     def spoil(self, here: str, there: str, what: str, how: bool | int) -> None:
         """As `Wire`."""
         setattr(self.net.spoil(here, there), what, how)
+        if what == "silent" and not how:
+            self.net.heal(here, there)
 
 
 def play_virtual(
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -39,6 +39,7 @@
 )
 # changes them four times, and fresher counts than a set-up's way are of no use
 STARTED_SLACK = 500_000  # us; two ages of one start differ by their frames' ways; a restart by more
+MAX_TEXT = 64  # characters of a number called or a tenant; the longest numbers have fifteen digits
 PROBE_TIMEOUT = 250_000  # us; a processor that answers later than this tells nothing that a dial does not
 
 
@@ -192,7 +193,11 @@
     def call(self, link: Hashable, call: frames.Call, now: int) -> None:
         """A caller hands a dialogue over."""
         key = (link, call.id)
-        fault = self._call_fault(call, key)
+        if key in self.by_caller:
+            # An answer would be taken for the first one's, which then had two: the id is the caller's to keep apart.
+            self.counts["strays.Call"] += 1
+            return
+        fault = self._call_fault(call)
         if fault:
             # Turned away before it is taken, as the limits of this place say; it still gets its one answer.
             self.counts[f"turned_away.{fault}"] += 1
@@ -219,7 +224,7 @@
         advised = self.advice[call.destination] if 0 <= call.destination < len(self.advice) else -1
         self._arrived(taken, call.left, call.redialled, advised, now, said.favour)
 
-    def _call_fault(self, call: frames.Call, key: tuple[Hashable, int]) -> str:
+    def _call_fault(self, call: frames.Call) -> str:
         if self.stopping:
             return "stopping"
         if len(self.taken) >= self.max_open:
@@ -228,7 +233,7 @@
             return "unknown_use_case"
         if call.width < 1 or call.left <= 0:
             return "no_time_or_width"
-        return "id_in_use" if key in self.by_caller else ""
+        return "" if _short(call.called) and _short(call.tenant) else "text_too_long"
 
     def _take(self, call: frames.Call | frames.Setup, origin: int, origin_id: int, now: int) -> Taken:
         self._next_id += 1
@@ -560,6 +565,7 @@
         """The own office hands over a dialogue in transit."""
         home = self.offices[office]
         wrong = setup.ref in home.transits or setup.use_case not in self._use_cases
+        wrong = wrong or not _short(setup.called)
         if wrong or home.number != self.number or len(self.taken) >= self.max_open or setup.width < 1:
             self.counts["turned_away.transit"] += 1
             self.outlet.to_office(office, frames.PushBack(setup.ref, "turned_back"))
@@ -699,6 +705,13 @@
             self._reset_dial(dial, now)
         if end.number != self.number:
             return
+        if self._home() is None:
+            for number, group in self.groups.items():
+                if (
+                    group.theirs_count
+                ):  # what came in over a dead office is gone with it; the next one tells anew
+                    group.theirs_count = 0
+                    self._changed(number)
         for other in self.offices.values():
             for dial in [dial for dial in other.dials.values() if dial.home is end]:
                 # A processor that died takes what passed it along; the far end is told.
@@ -811,6 +824,11 @@
         return sum(taken.owed for taken in self.taken.values())
 
 
+def _short(text: str | None) -> bool:
+    """Whether a number called or a tenant is one: they are kept for a minute, and longer ones would fill memory."""
+    return text is None or len(text) <= MAX_TEXT
+
+
 def _shown(dialogue: Dialogue) -> dict[str, Any]:
     """A dialogue's record for the log, without the records that it points to."""
     return {
--- a/wellhitch/stand_ins/office.py
+++ b/wellhitch/stand_ins/office.py
@@ -188,6 +188,11 @@
                 self._onward(frames.Cancel(leg.onward))
             self._end(leg)
         if port.link.peer and port.peer.number == self.trunks.number:
+            # What a call server held that is gone is held by nobody; its next one tells anew.
+            for number, group in self.trunks.groups.items():
+                if group.theirs_count:
+                    group.theirs_count = 0
+                    self._changed(number)
             for leg in list(self.transits.values()):
                 self._say(leg, frames.Cut(leg.setup.ref) if leg.answered else self._no(leg, "turned_back"))
                 self._end(leg)
@@ -244,7 +249,8 @@
         self._changed(number)
 
     def read(self, on: bool) -> None:
-        """Stop reading all links, or go on."""
+        """Stop reading all links, or go on. The capture tells: what is read then was sent at a time not known."""
+        self.recorder.note("reads_on" if on else "reads_nothing")
         for port in self.ports:
             if port.transport is not None and not port.transport.is_closing():
                 (port.transport.resume_reading if on else port.transport.pause_reading)()
--- a/wellhitch/stand_ins/town.py
+++ b/wellhitch/stand_ins/town.py
@@ -70,6 +70,7 @@
     callers: dict[int, Callers] = field(default_factory=dict)
     trunks: dict[int, Trunks] = field(default_factory=dict)
     generation: dict[int, int] = field(default_factory=dict)
+    down: set[int] = field(default_factory=set)  # call servers that are killed, or paused, now
 
     def __post_init__(self) -> None:
         day = self.day
--- a/wellhitch/stand_ins/troubles.py
+++ b/wellhitch/stand_ins/troubles.py
@@ -321,10 +321,14 @@
         pairs = pairs_of(town, t)
         for here, there in pairs:
             wire.spoil(here, there, what, how(t))
+            if what == "silent":
+                town.world.note("silent", here=here, there=there)
 
         def undo() -> None:
             for here, there in pairs:
                 wire.spoil(here, there, what, False)
+                if what == "silent":
+                    town.world.note("silent_over", here=here, there=there)
 
         return undo
 
@@ -381,13 +385,15 @@
 
 def server_killed(town: Town, t: TroubleLine) -> Undo:
     """The call servers are ended outright, and started again after `length`."""
-    numbers = _on(town, t)
+    numbers = [number for number in _on(town, t) if number not in town.down]
+    town.down.update(numbers)
     for number in numbers:
         town.world.note("server_killed", server=number)
         town.servers.kill(number)
 
     def undo() -> None:
         for number in numbers:
+            town.down.discard(number)
             town.world.note("server_started", server=number)
             town.servers.start(number)
 
@@ -396,13 +402,15 @@
 
 def server_paused(town: Town, t: TroubleLine) -> Undo:
     """The call servers' processes stand still for `length`."""
-    numbers = _on(town, t)
+    numbers = [number for number in _on(town, t) if number not in town.down]
+    town.down.update(numbers)
     for number in numbers:
         town.world.note("server_paused", server=number)
         town.servers.pause(number)
 
     def undo() -> None:
         for number in numbers:
+            town.down.discard(number)
             town.servers.resume(number)
             town.world.note("server_resumed", server=number)
 
