The judge: a dial that reached its office late may have been called off long before

What is read late counts from the earliest time at which it may have come, in the dial's favour and never against it.

--- a/wellhitch/judge/rules.py
+++ b/wellhitch/judge/rules.py
@@ -307,6 +307,7 @@
     t: int
     office: str
     number: int
+    earliest: int  # it may have come so early, where it was read or arrived late
     gone: int | None = None
     how: str = ""
     stood: bool = False
@@ -322,25 +323,30 @@
         if isinstance(line, Note):
             if line.what == "down":
                 heard = line.facts.get("heard", line.t)
+                late = unread + silences.get((line.facts["number"], capture.name), [])
                 half_open = line.t - heard > HALF_OPEN
                 for key in [key for key in out if key[0] == line.facts["link"]]:
                     # A half-open link was lost to its sender at a time that this end cannot know, and no
                     # sooner than it was last heard here.
                     _gone(
-                        out.pop(key), max(heard, 0) if half_open else line.t, "lost" if half_open else "reset"
+                        out.pop(key),
+                        max(heard, 0) if half_open else _earliest(late, line.t),
+                        "lost" if half_open else "reset",
                     )
             continue
         frame = line.frame
         key = (line.link, getattr(frame, "ref", -1))
+        late = unread + silences.get((line.number, capture.name), [])
         if line.way == "in" and isinstance(frame, frames.Setup):
-            dial = out[key] = _Dial(line.number, line.t, capture.name, frame.dial)
+            dial = out[key] = _Dial(line.number, line.t, capture.name, frame.dial, _earliest(late, line.t))
             yield (line.number, frame.origin, frame.dialogue), dial
         elif line.way == "in" and isinstance(frame, (frames.Cancel, frames.Release)) and key in out:
             how = "called off" if isinstance(frame, frames.Cancel) else "released"
-            late = unread + silences.get((line.number, capture.name), [])
             _gone(out.pop(key), _earliest(late, line.t), how)
         elif line.way == "out" and isinstance(frame, (frames.PushBack, frames.Cut)) and key in out:
-            _gone(out.pop(key), line.t, "pushed back" if isinstance(frame, frames.PushBack) else "reset")
+            how = "pushed back" if isinstance(frame, frames.PushBack) else "reset"
+            # Where the Setup came late, so may a Cancel that was sent long before: it stands behind in the same read.
+            _gone(out.pop(key), _earliest(late, line.t), how)
         elif line.way == "out" and isinstance(frame, frames.Answer) and key in out:
             out[key].stood = True
 
@@ -360,7 +366,7 @@
         for whose, dial in _office_dials(capture, figures.way, silences):
             dialled[whose].append(dial)
     for (sender, origin, dialogue), dials in dialled.items():
-        dials.sort(key=lambda dial: (dial.t, dial.number))
+        dials.sort(key=lambda dial: (dial.earliest, dial.number))
         verdict.seen["dials"] += len(dials)
         name = f"dialogue {origin}.{dialogue}"
         for before, after in zip(dials, dials[1:], strict=False):
