Rule 3 kept against a register that restarted with an old count

From an old list the lines that shut an office are taken now, unless its processor started since; nothing else of it is.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -245,6 +245,26 @@
     assert bench.switch.counts["lists_skipped"] == 1
 
 
+def test_an_old_list_may_shut_an_office_but_not_open_one(bench: Bench) -> None:
+    """A register that restarted counts from an old revision; its news of a drain is news all the same."""
+    bench.told("ready", "ready", "draining", revision=9)
+    bench.told("ready", "draining", "ready", revision=3)
+    assert bench.switch.offices["o1"].standing is ev.Standing.DRAINING
+    assert bench.switch.offices["o2"].standing is ev.Standing.DRAINING
+    assert bench.switch.offices["o0"].standing is ev.Standing.READY and bench.switch.revision == 9
+    bench.call()
+    assert bench.finals == ["pushed_back"]
+
+
+def test_an_old_list_does_not_shut_a_processor_that_started_since(bench: Bench) -> None:
+    bench.out.now = 100 * SECOND
+    fresh = [frames.ListLine("o1", 1, "ready", SECOND, "o1:1")]
+    bench.switch.listed(frames.List("changes", 9, fresh), bench.out.now)
+    old = [frames.ListLine("o1", 1, "gone", 50 * SECOND, "o1:1")]
+    bench.switch.listed(frames.List("changes", 3, old), bench.out.now)
+    assert bench.switch.offices["o1"].standing is ev.Standing.READY
+
+
 def test_a_malformed_list_leaves_the_last_good_one(bench: Bench) -> None:
     bench.told("gone", "sleeping", "gone", revision=5)
     assert bench.switch.offices["o0"].standing is ev.Standing.READY and bench.switch.revision == 1
--- a/wellhitch/judge/rules.py
+++ b/wellhitch/judge/rules.py
@@ -244,7 +244,7 @@
                 broken(line.t, f"transit {frame.ref}: a second answer, {name} after {owed_now.answer}")
             elif (
                 owed_now.over is not None
-                and line.t > owed_now.over + 2 * figures.way
+                and _earliest(unread, line.t) > owed_now.over + 2 * figures.way
                 and not outages.touches(server, owed_now.over, line.t)
             ):
                 broken(line.t, f"transit {frame.ref}: {name} after it was called off")
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -723,16 +723,23 @@
             self._left(taken, now)
 
     def listed(self, frame: frames.List, now: int) -> None:
-        """The register told the list, or changes to it. A revision that goes back is an old list: skipped."""
-        if frame.revision < self.revision:
-            self.counts["lists_skipped"] += 1
-            self.outlet.log("list_skipped", revision=frame.revision, have=self.revision)
-            return
+        """The register told the list, or changes to it. A revision that goes back is an old list: skipped, but for
+        what it says of offices that drain or are gone.
+
+        Guards rule 3 against a register that restarted with an old count: its news of a drain then comes under a
+        revision that was seen before. Keeping back costs a dial elsewhere; not keeping back breaks the rule."""
         bad = [line for line in frame.lines if line.standing not in STANDINGS or line.number < 0]
         if bad or frame.kind not in ("changes", "whole", "remembered"):
             self.counts["lists_malformed"] += 1
             self.outlet.log("list_malformed", revision=frame.revision, line=repr(bad[:1]))
             return
+        if frame.revision < self.revision:
+            self.counts["lists_skipped"] += 1
+            self.outlet.log("list_skipped", revision=frame.revision, have=self.revision)
+            shut = [line for line in frame.lines if self._less_usable(line, now)]
+            if not shut:
+                return
+            frame = frames.List("changes", self.revision, shut)
         self.revision = frame.revision
         before = {end.id: end.standing for end in self.offices.values()}
         named = set()
@@ -754,6 +761,14 @@
             if end.standing is ev.Standing.GONE and not (end.dials or end.passing or end.transits):
                 del self.offices[end.id]  # replaced processors must not pile up over the weeks
 
+    def _less_usable(self, line: frames.ListLine, now: int) -> bool:
+        """Whether a line says of an office held ready that it is not, and not of a processor before the present."""
+        end = self.offices.get(line.office)
+        if end is None or end.standing is not ev.Standing.READY or line.standing == "ready":
+            return False
+        started = None if line.age is None else now - line.age
+        return end.started is None or (started is not None and started >= end.started - STARTED_SLACK)
+
     def _listed_line(self, line: frames.ListLine, now: int) -> None:
         standing = STANDINGS[line.standing]
         started = None if line.age is None else now - line.age
