--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -219,6 +219,16 @@
     assert cut(done) > 5 and not done.lost_circuits and not done.left_open
 
 
+def test_a_restarted_call_server_names_no_dialogue_as_the_one_before_did() -> None:
+    done = played(day(rate=15, troubles=[trouble("server_killed", length="1s", on=[0])]))
+    lives = {
+        line.frame.dialogue >> 32
+        for line in frames_of(done, frames.Setup, "office", "in")
+        if line.number == 0
+    }
+    assert lives == {1, 2} and done.verdict.breaks == []
+
+
 def test_a_link_flaps_faster_than_the_release_wait() -> None:
     done = played(day(rate=15, troubles=[trouble("link_cut", size=30, extra=0.12, on=[1])]))
     assert done.verdict.breaks == [] and not done.lost_circuits
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -62,6 +62,7 @@
         self.loop, self.network, self.doors, self.write_log = loop, network, doors, log
         self.chance = random.Random(opened.seed ^ boot)
         self.switch = make_switch(opened, max_open, self)
+        self.switch.life = boot % (1 << 30)
         self.hello = frames.Hello("call_server", self.switch.number, boot)
         self.callers = _Callers(self)
         self.peers_in = _Peers(self)
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -96,6 +96,9 @@
         self.revision = -1
         self.stopping = False
         self.hooked: Hooked | None = None
+        self.life = (
+            0  # set at each start: what an earlier process called its dialogues must not be called so again
+        )
         self._next_id = 0
         self._events: deque[ev.Event] = deque()
         self._feeding = False
@@ -216,7 +219,7 @@
             call = msgspec.structs.replace(call, use_case=said.use_case)
         taken = self._take(call, self.number, 0, now)
         taken.tenant, taken.tags, taken.version = call.tenant, said.tags, version
-        taken.link, taken.caller_id, taken.origin_id = link, call.id, taken.id
+        taken.link, taken.caller_id, taken.origin_id = link, call.id, self.life << 32 | taken.id
         self.by_caller[key] = taken
         home = self._home()
         if home:
