--- a/tests/test_hooks_tools.py
+++ b/tests/test_hooks_tools.py
@@ -7,6 +7,7 @@
 from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
+from test_hooks_service import BROKEN
 from world import USE_CASES, day, rules, trouble
 
 from wellhitch.cli.main import main
@@ -86,9 +87,6 @@
     ]
 
 
-BROKEN = {"a": "on arrive { let n = 0 while n >= 0 { n = n + 1 } }", "b": "on answer { let x = 1 / 0 }"}
-
-
 def test_broken_hooks_on_real_sockets(tmp_path: Path) -> None:
     brief: list[dict[str, Any]] = [{**use, "hold": "300ms"} for use in USE_CASES]
     lost = [trouble("answer_lost", at="1s", length="1s", size=0.3)]
@@ -96,4 +94,4 @@
     done = play_sockets(made, tmp_path, processes=False)
     assert rules(done) == [] and not done.left_open
     counts = done.servers[0]["counts"]
-    assert counts["hooks_failed.steps"] >= 3 and counts["hooks_failed.wrong"] >= 3
+    assert counts["hooks_failed.memory"] >= 3 and counts["hooks_failed.wrong"] >= 3
