--- a/tests/test_hooks_language.py
+++ b/tests/test_hooks_language.py
@@ -1,5 +1,6 @@
 """The hooks' language: what it means, what is told at load, and that nothing escapes its budget."""
 
+import ast
 import time
 from typing import Any
 
@@ -8,7 +9,7 @@
 from hypothesis import strategies as st
 
 from wellhitch.hooks.check import check
-from wellhitch.hooks.closures import compiled
+from wellhitch.hooks.emit import SEEN, compiled
 from wellhitch.hooks.grammar import Parser
 from wellhitch.hooks.points import FAVOUR, BadAnswer, read_answer
 from wellhitch.hooks.tree import BadHooks
@@ -178,6 +179,10 @@
         ("on arrive { let x = " + "(" * 100 + "1" + ")" * 100 + " }", ""),
         ("on arrive { let x = " + "-" * 300 + "1 }", "nested over 60 deep"),
         ("on arrive { let x = 1" + " + 1" * 500 + " }", "nested over 60 deep"),
+        (
+            "on arrive { " + "for i in 2 { " * 17 + "length([])" + " }" * 17 + " }",
+            "loops in each other over 16 deep",
+        ),
         ("#" + "x" * 70000, "70001 characters, over 65536"),
     ],
 )
@@ -362,6 +367,33 @@
     assert one.store == two.store
 
 
+@settings(max_examples=100, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(PROGRAMS)
+def test_the_source_made_of_a_hook_names_nothing_but_its_own(text: str) -> None:
+    """Nothing of a file reaches Python but literals: no import, no attribute but three, no name that was not given."""
+    file = PARSER.parse(text, "g")
+    try:
+        program = compiled(file, Budget())
+    except HookFault:
+        return
+    functions = {f"f{at}" for at in range(len(file.functions))} | {f"h_{point}" for point in file.hooks}
+    for node in ast.walk(ast.parse(program.source)):
+        assert not isinstance(node, (ast.Import, ast.ImportFrom, ast.Lambda, ast.Global, ast.With, ast.Try))
+        if isinstance(node, ast.Attribute):
+            assert node.attr in {"steps", "depth", "pay", "take", "fields", "__class__", "startswith"}
+        if isinstance(node, ast.Name):
+            own = node.id in SEEN | dict.fromkeys(functions) or node.id in ("b", "s") or node.id[0] in "vk"
+            assert own and not node.id.startswith("__"), node.id
+
+
+def test_deep_statements_and_long_chains_compile() -> None:
+    """Python's own limits on nesting are met nowhere: the source nests only as statements do."""
+    deep = "if true { " * 25 + "let x = (((((1 + 2)))))" + " }" * 25
+    chain = "let n = 1 if n == 0 { } " + " ".join(f"else if n == {at} {{ n = {at} }}" for at in range(2, 12))
+    arms = "match n { " + " ".join(f"{at} => {{ n = {at} }}" for at in range(2, 400)) + " }"
+    assert run(f"on arrive {{ {deep} {chain} {arms} return {{favour: n}} }}") == Record({"favour": 1}, 1)
+
+
 @settings(max_examples=250, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 @given(st.integers(0, len(PROGRAM) - 1), st.integers(0, 40), st.text(max_size=6))
 def test_mutated_text_gives_a_program_or_named_faults(at: int, cut: int, put: str) -> None:
--- a/wellhitch/cli/hooks.py
+++ b/wellhitch/cli/hooks.py
@@ -10,7 +10,7 @@
 from wellhitch.cli.check import read_day
 from wellhitch.cli.errors import told_plainly
 from wellhitch.hooks.check import check as check_file
-from wellhitch.hooks.closures import compiled
+from wellhitch.hooks.emit import compiled
 from wellhitch.hooks.grammar import Parser
 from wellhitch.hooks.host import LOAD_STEPS, MEMORY, STEPS, Version, as_value, load, run_tests
 from wellhitch.hooks.layout import lay_out
--- a/wellhitch/hooks/check.py
+++ b/wellhitch/hooks/check.py
@@ -8,6 +8,7 @@
 from wellhitch.hooks.values import BUILTINS, kind
 
 ANY: Type = "any"
+MAX_LOOPS = 16  # in each other within one function; Python, into which hooks are compiled, bears 20
 KEYWORDS = ("return", "break", "continue", "else", "while", "match", "true", "false", "none", "expect")
 _ARITHMETIC = {
     ("+", "number"),
@@ -116,17 +117,17 @@
                 return total and all(ends)
             case tree.While(at, condition, block):
                 self._condition(condition)
-                self.loops += 1
+                self._loop(at)
                 self.block(block)
                 self.loops -= 1
                 if _literal_true(condition) and not _leaves(block):
                     self.say(at, "this loop never ends", "a break or return is missing")
                     return True
                 return _literal_true(condition) and not _breaks(block)
-            case tree.For(_, name, value, block):
+            case tree.For(at, name, value, block):
                 self.expr(value)
                 self.scope.blocks.append({name: ANY})
-                self.loops += 1
+                self._loop(at)
                 self.block(block)
                 self.loops -= 1
                 self.scope.blocks.pop()
@@ -147,6 +148,11 @@
                     self.say(at, "this does nothing", "a call, or name = value")
         return False
 
+    def _loop(self, at: tree.At) -> None:
+        self.loops += 1
+        if self.loops > MAX_LOOPS:
+            self.say(at, f"loops in each other over {MAX_LOOPS} deep", "use functions")
+
     def _assign(self, at: tree.At, name: str, path: tuple[str | tree.Expr, ...], value: tree.Expr) -> None:
         found = self.expr(value)
         for key in path:
--- a/wellhitch/hooks/host.py
+++ b/wellhitch/hooks/host.py
@@ -10,8 +10,8 @@
 
 from wellhitch.hooks import tree
 from wellhitch.hooks.check import check
-from wellhitch.hooks.closures import Program, compiled
 from wellhitch.hooks.containment import Standing, Steps
+from wellhitch.hooks.emit import Program, compiled
 from wellhitch.hooks.grammar import Parser
 from wellhitch.hooks.points import FAVOUR, MAX_TAGS, POINTS, BadAnswer, Said, Type, read_answer
 from wellhitch.hooks.values import Budget, HookFault, Items, Record, Span, Value
@@ -205,25 +205,29 @@
         if not programs:
             return Said()
         inputs = {name: as_value(facts[name], wanted) for name, wanted in POINTS[point].inputs.items()}
-        together = Said()
+        together: Said | None = None
         for place, program in enumerate(programs):
             one = self._run(program, point, inputs, key, place, len(programs), now)
             if one is not None:
-                together = _joined(together, one)
-        return together
+                together = one if together is None else _joined(together, one)
+        return together or Said()
 
     def _run(
         self, program: Program, point: str, inputs: dict[str, Value], key: str, place: int, of: int, now: int
     ) -> Said | None:
         name = program.file.name
-        standing = self.standings.setdefault(name, Standing())
+        standing = self.standings.get(name)
+        if standing is None:
+            standing = self.standings[name] = Standing()
         if not self.steps.may(place, of, now):
             self.counts["hooks_passed_over.pressed"] += 1
             return None
         if not standing.may(key, now):
             self.counts["hooks_passed_over.benched"] += 1
             return None
-        kept = self.kept.setdefault(name, Kept())
+        kept = self.kept.get(name)
+        if kept is None:
+            kept = self.kept[name] = Kept()
         view = _View(kept, now)
         budget = Budget(STEPS, MEMORY, store=view)
         self.counts["hooks_run"] += 1
--- a/wellhitch/hooks/points.py
+++ b/wellhitch/hooks/points.py
@@ -61,9 +61,9 @@
 second, to keep state."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Said:
-    """What a hook said, within bounds."""
+    """What a hook said, within bounds. Not frozen: one is made at each dialogue, and that trebles its cost."""
 
     use_case: str | None = None
     favour: float = 1.0
--- a/wellhitch/hooks/values.py
+++ b/wellhitch/hooks/values.py
@@ -10,7 +10,7 @@
 values' size pays for that size first.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 LARGEST = 1 << 53  # whole numbers beyond it are not exact
@@ -32,17 +32,17 @@
     __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Items:
-    """A list."""
+    """A list. Never changed once made; not frozen, since that trebles the time to make one."""
 
     items: tuple["Value", ...]
     depth: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Record:
-    """Values by name."""
+    """Values by name. Never changed once made."""
 
     fields: dict[str, "Value"]
     depth: int
@@ -73,22 +73,26 @@
         self.memory -= cells
         if self.memory < 0:
             raise HookFault("memory", "the budget of memory is spent: does something grow in a loop?")
-        self.pay(cells // 4)
+        self.steps -= cells // 4
+        if self.steps < 0:
+            self.pay(0)
 
 
 def kind(value: Value) -> str:
     """The name of a value's type."""
-    if value is None:
-        return "none"
-    if isinstance(value, bool):
-        return "truth"
-    if isinstance(value, Span):
-        return "duration"
-    if isinstance(value, (int, float)):
-        return "number"
-    if isinstance(value, str):
-        return "text"
-    return "list" if isinstance(value, Items) else "record"
+    return KINDS[value.__class__]
+
+
+KINDS: dict[type, str] = {
+    type(None): "none",
+    bool: "truth",
+    Span: "duration",
+    int: "number",
+    float: "number",
+    str: "text",
+    Items: "list",
+    Record: "record",
+}
 
 
 def wrong(text: str) -> HookFault:
@@ -104,19 +108,24 @@
 def make_list(items: tuple[Value, ...], budget: Budget) -> Items:
     """A list, paid for."""
     budget.take(len(items) + 1)
-    deep = 1 + max(map(depth, items), default=0)
-    if deep > DEEPEST:
-        raise HookFault("depth", f"lists and records in each other over {DEEPEST} deep")
-    return Items(items, deep)
+    return Items(items, _around(items))
 
 
 def make_record(fields: dict[str, Value], budget: Budget) -> Record:
     """A record, paid for."""
     budget.take(len(fields) + 1)
-    deep = 1 + max(map(depth, fields.values()), default=0)
-    if deep > DEEPEST:
+    return Record(fields, _around(fields.values()))
+
+
+def _around(values: Iterable[Value]) -> int:
+    """The depth of what holds these. Raises HookFault where it is too deep."""
+    deep = 0
+    for one in values:
+        if (one.__class__ is Record or one.__class__ is Items) and one.depth > deep:
+            deep = one.depth
+    if deep >= DEEPEST:
         raise HookFault("depth", f"lists and records in each other over {DEEPEST} deep")
-    return Record(fields, deep)
+    return deep + 1
 
 
 def bounded(value: int | float) -> int | float:
@@ -176,7 +185,7 @@
         )
     if isinstance(left, str) and isinstance(right, str):
         budget.pay(min(len(left), len(right)) // 64)
-    return kind(left) == kind(right) and left == right
+    return KINDS[left.__class__] == KINDS[right.__class__] and left == right
 
 
 def binary(op: str, left: Value, right: Value, budget: Budget) -> Value:
@@ -392,6 +401,21 @@
     raise wrong(f"get from a {kind(value)} by a {kind(key)} means nothing")
 
 
+def _starts(value: Value, part: Value, budget: Budget) -> Value:
+    return _two_texts("starts", value, part, budget).startswith(part)  # type: ignore[arg-type]
+
+
+def _ends(value: Value, part: Value, budget: Budget) -> Value:
+    return _two_texts("ends", value, part, budget).endswith(part)  # type: ignore[arg-type]
+
+
+def _two_texts(name: str, value: Value, part: Value, budget: Budget) -> str:
+    if not isinstance(value, str) or not isinstance(part, str):
+        raise wrong(f"{name} takes a text, not a {kind(part if isinstance(value, str) else value)}")
+    budget.take((len(value) + len(part)) // 16 + 2)
+    return value
+
+
 def _push(value: Value, item: Value, budget: Budget) -> Value:
     if not isinstance(value, Items):
         raise wrong(f"push takes a list, not a {kind(value)}")
@@ -454,11 +478,8 @@
     "text": (1, text_of),
     "number": (1, _to_number),
     "lower": (1, lambda value, budget: _one_text("lower", value, budget).lower()),
-    "starts": (
-        2,
-        lambda a, b, budget: _one_text("starts", a, budget).startswith(_one_text("starts", b, budget)),
-    ),
-    "ends": (2, lambda a, b, budget: _one_text("ends", a, budget).endswith(_one_text("ends", b, budget))),
+    "starts": (2, _starts),
+    "ends": (2, _ends),
     "split": (2, _split),
     "floor": (1, lambda value, budget: int(_number("floor", value) // 1)),
     "least": (2, _least),
--- a/wellhitch/hooks/walker.py
+++ b/wellhitch/hooks/walker.py
@@ -1,5 +1,5 @@
 """Runs hooks by walking the tree: the plainest statement of what the language means. Not used in service; generated
-programs are run by it and by `closures.py`, and values, faults and costs must be the same."""
+programs are run by it and by `emit.py`, and values, faults and costs must be the same."""
 
 from dataclasses import dataclass, field
 
@@ -102,6 +102,7 @@
                 self._while(condition, block, env)
             case tree.For(_, name, value, block):
                 for one in v.each(self.expr(value, env)):
+                    self.budget.used_at = s.at
                     self.budget.pay(1)
                     if self._turn(block, [*env, {name: one}]):
                         return
@@ -116,7 +117,9 @@
                 self.expr(value, env)
 
     def _while(self, condition: tree.Expr, block: tree.Block, env: list[dict[str, Value]]) -> None:
+        at = self.budget.used_at
         while True:
+            self.budget.used_at = at
             self.budget.pay(1 + size(condition))
             if not v.truth(self.expr(condition, env)) or self._turn(block, env):
                 return
