--- a/wellhitch/lab/measure_hooks.py
+++ b/wellhitch/lab/measure_hooks.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from wellhitch.hooks import closures, machine
 from wellhitch.hooks.containment import Standing
 from wellhitch.hooks.emit import compiled
 from wellhitch.hooks.grammar import Parser
@@ -92,7 +91,6 @@
         hooks.said("arrive", inputs, "k", clock[0])
 
     plain = _median(lambda: in_python(facts["call"], 9, 0.2), times)
-    closed, made = closures.compiled(file, Budget()), machine.Machine(file, Budget())
     out = ["a ten-line hook, median of a call"]
     for name, took in (
         ("plain Python", plain),
@@ -100,8 +98,6 @@
             "Python source, compiled",
             _median(lambda: program.run("arrive", inputs, Budget(STEPS, MEMORY)), times),
         ),
-        ("closures", _median(lambda: closed.run("arrive", inputs, Budget(STEPS, MEMORY)), times)),
-        ("bytecode machine", _median(lambda: made.run("arrive", inputs, Budget(STEPS, MEMORY)), times)),
         ("tree walker", _median(walk, times)),
         ("whole: hook, its answer, benches", _median(host, times)),
     ):
