--- /dev/null
+++ b/wellhitch/store/__init__.py
@@ -0,0 +1,9 @@
+"""Records that survive crashes: shelves of keys and bodies in one file, each record with a checksum of the project's
+own, committed in groups off the decision path. `docs/design/store.md` has the format.
+
+    records.py   bytes of a record, its checksum, upgrades     pure
+    writer.py    what waits for the disk, and when it goes     pure
+    upkeep.py    checkpoint, compaction, scrub, snapshot       pure: which next, within a budget of pages
+    engine.py    SQLite, through apsw                          the disk
+    keeper.py    loop, disk and the three above
+"""
--- /dev/null
+++ b/wellhitch/store/keeper.py
@@ -0,0 +1,296 @@
+"""Joins a loop, a disk and the store's decisions: changes are taken at once, commits and upkeep run on the disk one at
+a time, and whoever asks is told when what it put is safe."""
+
+import asyncio
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from wellhitch.net.seam import now_us
+from wellhitch.store.engine import Engine, Scrub, StoreFault
+from wellhitch.store.records import Change, Damaged
+from wellhitch.store.upkeep import SCRUB_RECORDS, Upkeep
+from wellhitch.store.writer import LINGER, MOST_WAITING, Refused, Writer
+
+UPKEEP_EVERY = (
+    0.2  # s between looks at what upkeep is due: one piece each, so at most PAGES_PER_S and no more
+)
+OPEN_AGAIN = 5_000_000  # us after which a store that could not be opened is tried again
+
+
+class Disk(Protocol):
+    """Where files lie. One piece of work at a time, off the loop; `done` is called on the loop."""
+
+    def open(self, name: str) -> Engine:
+        """Open a store for this process alone. Raises StoreFault: `in_use` where another has it."""
+
+    def run(self, work: Callable[[], Any], done: Callable[[Any], None]) -> None:
+        """Do work that may block, in the order asked; `done` gets its result, or the StoreFault it raised."""
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """What the store says of itself: its state, what a power cut would lose now, what it had to refuse."""
+
+    state: str
+    changes_at_risk: int
+    us_at_risk: int
+    refused: int
+    damaged: int
+
+
+class Keeper:
+    """One store in service. `log` takes an event with facts."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        disk: Disk,
+        name: str,
+        log: Callable[..., None],
+        linger: int = LINGER,
+        most_waiting: int = MOST_WAITING,
+    ) -> None:
+        self.loop, self.disk, self.name, self.write_log = loop, disk, name, log
+        self.writer, self.upkeep = Writer(linger, most_waiting), Upkeep()
+        self.counts: Counter[str] = Counter()
+        self.engine: Engine | None = None
+        self.damage: list[Damaged] = []
+        self._safe: deque[tuple[int, Callable[[], None]]] = deque()
+        self._put_count = self._safe_count = 0
+        self._scrub = Scrub()
+        self._snapshot_to = ""
+        self._snapshot_done: Callable[[str], None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._busy = self._closing = False
+        self._open_trouble = ""
+        self._opened: list[Callable[[Engine], None]] = []
+        self._said = "well"
+        self._looking: asyncio.TimerHandle | None = None
+
+    def now(self) -> int:
+        """The loop's time in us."""
+        return now_us(self.loop)
+
+    # -- opening --
+
+    def open(self, opened: Callable[[Engine], None]) -> None:
+        """Open the file; `opened` runs on the disk, to read what is there, before anything else is asked of it. Where
+        it cannot be opened, that is logged and tried again; changes wait meanwhile as for a failing disk."""
+        self._opened.append(opened)
+        self._try_open()
+        self._looking = self.loop.call_later(UPKEEP_EVERY, self._look)
+
+    def _try_open(self) -> None:
+        if self._closing:
+            return
+
+        def work() -> Engine:
+            engine = self.disk.open(self.name)
+            try:
+                for one in self._opened:
+                    one(engine)
+            except StoreFault:
+                engine.close()
+                raise
+            return engine
+
+        self._run(work, self._is_open)
+
+    def _is_open(self, found: Any) -> None:
+        if isinstance(found, StoreFault):
+            self._open_trouble = found.trouble
+            self.counts["store_not_opened"] += 1
+            self.write_log("store_not_opened", name=self.name, trouble=found.trouble, why=str(found))
+            self.loop.call_later(OPEN_AGAIN / 1e6, self._try_open)
+            return
+        self.engine, self._open_trouble = found, ""
+        self.write_log("store_opened", name=self.name)
+        self._arm()
+
+    # -- writing --
+
+    def put(self, changes: Sequence[Change], safe: Callable[[], None] | None = None) -> bool:
+        """Take changes; False, and none is taken, where there is no room. `safe` is called on the loop once all are
+        on disk."""
+        now = self.now()
+        if self.writer.held + len(changes) > self.writer.most_waiting:
+            # All or none: half of what belongs together is worth nothing.
+            for _ in changes:
+                self.writer.refuse(now)
+            return False
+        for change in changes:
+            self.writer.put(change, now)
+        self._put_count += len(changes)
+        if safe:
+            self._safe.append((self._put_count, safe))
+        self._arm()
+        return True
+
+    def refused(self) -> Refused:
+        """As `Writer.take_refused`."""
+        return self.writer.take_refused()
+
+    def _arm(self) -> None:
+        if self._timer or self.engine is None or self._closing:
+            return
+        due = self.writer.due(self.now())
+        if due is not None:
+            self._timer = self.loop.call_later(due / 1e6, self._commit)
+
+    def _commit(self) -> None:
+        self._timer = None
+        engine = self.engine
+        if engine is None or self.writer.began is not None or not self.writer.held:
+            return
+        batch = self.writer.begin(self.now())
+
+        def done(found: Any) -> None:
+            if isinstance(found, StoreFault):
+                self.counts[f"store_failed.{found.trouble}"] += 1
+                self.writer.failed(found.trouble, self.now())
+            else:
+                self._safe_count += self.writer.committed(self.now())
+                while self._safe and self._safe[0][0] <= self._safe_count:
+                    self._safe.popleft()[1]()
+            self._tell()
+            self._arm()
+
+        self._run(lambda: engine.commit(batch), done)
+
+    # -- upkeep --
+
+    def _look(self) -> None:
+        """Every so often: one piece of upkeep, if the disk is idle."""
+        if self._closing:
+            return
+        self._looking = self.loop.call_later(UPKEEP_EVERY, self._look)
+        self._tell()
+        engine = self.engine
+        if engine is None or self._busy:
+            return
+        self._busy = True
+        now, pressed = self.now(), self.writer.at_risk(self.now())[1] > 10 * self.writer.linger
+
+        def work() -> Any:
+            piece = self.upkeep.next(engine.sizes(), pressed, now)
+            if piece == "checkpoint":
+                engine.checkpoint()
+            elif piece == "vacuum":
+                engine.vacuum()
+            elif piece == "snapshot":
+                return piece, engine.snapshot(self._snapshot_to)
+            elif piece == "scrub":
+                return piece, engine.scrub(self._scrub, SCRUB_RECORDS)
+            return piece, None
+
+        def done(found: Any) -> None:
+            self._busy = False
+            if isinstance(found, StoreFault):
+                self.counts["store_upkeep_failed"] += 1
+                if self.upkeep.snapshot:
+                    self._snapshot_over(str(found))
+                return
+            piece, what = found
+            if piece:
+                self.counts[f"store_upkeep.{piece}"] += 1
+            if piece == "snapshot" and what:
+                self._snapshot_over("")
+            elif piece == "scrub":
+                self._scrubbed(what)
+
+        self._run(work, done)
+
+    def _scrubbed(self, found: list[Damaged] | None) -> None:
+        if found is None:
+            self.write_log("store_scrubbed", records=self._scrub.records, damaged=self._scrub.damage)
+            self._scrub = Scrub()
+            self.upkeep.scrubbed(self.now())
+            return
+        for damage in found:
+            self.counts["store_damaged"] += 1
+            self.damage.append(damage)
+            self.write_log("store_damaged", shelf=damage.shelf, key=damage.key.hex(), why=damage.why)
+
+    def snapshot(self, to: str, done: Callable[[str], None]) -> None:
+        """Copy the store into a file beside, piece by piece; `done` gets nothing, or why it failed."""
+        if self.upkeep.snapshot:
+            done("a snapshot is being made already")
+            return
+        self._snapshot_to, self._snapshot_done = to, done
+        self.upkeep.snapshot = True
+
+    def _snapshot_over(self, why: str) -> None:
+        self.upkeep.snapshot = False
+        done, self._snapshot_done = self._snapshot_done, None
+        if done:
+            done(why)
+
+    # -- reading --
+
+    def read(self, work: Callable[[Engine], Any], done: Callable[[Any], None]) -> None:
+        """Read on the disk, after all commits that are under way; `done` gets the result or a StoreFault."""
+        engine = self.engine
+        if engine is None:
+            self.loop.call_soon(done, StoreFault(self._open_trouble or "failing", f"{self.name} is not open"))
+            return
+        self._run(lambda: work(engine), done)
+
+    def condition(self) -> Condition:
+        """How the store is now."""
+        changes, age = self.writer.at_risk(self.now())
+        state = self._open_trouble or self.writer.condition(self.now())
+        return Condition(state, changes, age, self.writer.refused.count, self.counts["store_damaged"])
+
+    def _tell(self) -> None:
+        state = self.condition().state
+        if state != self._said:
+            self.write_log("store_condition", name=self.name, before=self._said, now=state)
+            self._said = state
+
+    def _run(self, work: Callable[[], Any], done: Callable[[Any], None]) -> None:
+        self.disk.run(work, lambda found: None if self._closing else done(found))
+
+    # -- the end --
+
+    def close(self, closed: Callable[[], None] | None = None) -> None:
+        """Commit what waits, once, and close; what the disk does not take is lost and logged."""
+        if self._closing:
+            return
+        self._halt()
+        engine, batches = self.engine, []
+        if self.writer.writing:
+            # Under way or failed: put again as it was, which does no harm.
+            batches.append([change for change, _ in self.writer.writing])
+        batches.append([change for change, _ in self.writer.waiting])
+
+        def work() -> None:
+            if engine is None:
+                raise StoreFault("failing", f"{self.name} is not open")
+            try:
+                for batch in batches:
+                    engine.commit(batch)
+            finally:
+                engine.close()
+
+        def done(found: Any) -> None:
+            if isinstance(found, StoreFault) and any(batches):
+                self.write_log("store_lost", name=self.name, changes=sum(map(len, batches)), why=str(found))
+            if closed:
+                closed()
+
+        self.disk.run(work, done)
+
+    def kill(self) -> None:
+        """Stop at once, as a killed process: what waits is lost. The file is left as it is."""
+        self._halt()
+        engine, self.engine = self.engine, None
+        if engine:
+            self.disk.run(engine.close, lambda found: None)
+
+    def _halt(self) -> None:
+        self._closing = True
+        for timer in (self._timer, self._looking):
+            if timer:
+                timer.cancel()
--- /dev/null
+++ b/wellhitch/store/writer.py
@@ -0,0 +1,122 @@
+"""What waits for the disk, and when it goes: group commit. Pure: takes what happened and now.
+
+A dialogue never waits: `put` takes a change at once, and the disk gets all that waits as one commit when the one
+before is done and the oldest has lingered. What a power cut would lose is what waits and what is being written:
+`at_risk` tells it in changes and us. A disk that fails keeps its batch, which is tried again after doubling waits;
+what waits is bounded, and what comes beyond is refused and counted, never silently dropped."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from wellhitch.store.records import Change
+
+LINGER = (
+    20_000  # us that the oldest change waits for company: at 1,000 a second 20 go in one commit, whose sync
+)
+# (0.2 ms here, 5 to 10 ms on a turning disk) is then a small part
+MOST_WAITING = 100_000  # changes; a hundred seconds of 520 dialogues a second, two changes each, some 25 MB
+MOST_IN_ONE = 5_000  # changes of a commit; ten ms of work here, so that what follows does not wait long
+FIRST_WAIT = 100_000  # us before a failed commit is tried again, doubling
+LONGEST_WAIT = 5_000_000  # us: a disk with room again is used within that
+SLOW = 1_000_000  # us that a commit may take before the disk is called slow; a hundred times the usual
+
+
+@dataclass(slots=True)
+class Refused:
+    """Changes that found no room, as one stretch of time."""
+
+    count: int = 0
+    first: int = 0
+    last: int = 0
+
+
+@dataclass(slots=True)
+class Writer:
+    """Changes on their way to one disk. `trouble` names what the disk suffers from, empty where it is well:
+    `full`, `read_only`, `damaged`, `failing`."""
+
+    linger: int = LINGER
+    most_waiting: int = MOST_WAITING
+    waiting: deque[tuple[Change, int]] = field(default_factory=deque)
+    writing: list[tuple[Change, int]] = field(default_factory=list)
+    began: int | None = None
+    retry_at: int = 0
+    wait: int = FIRST_WAIT
+    trouble: str = ""
+    refused: Refused = field(default_factory=Refused)
+    commits: int = 0
+    longest: int = 0
+
+    @property
+    def held(self) -> int:
+        """Changes not on disk yet."""
+        return len(self.waiting) + len(self.writing)
+
+    def put(self, change: Change, now: int) -> bool:
+        """Take a change; False where there is no room: it is counted among the refused."""
+        if self.held >= self.most_waiting:
+            self.refuse(now)
+            return False
+        self.waiting.append((change, now))
+        return True
+
+    def refuse(self, now: int) -> None:
+        """Count a change that found no room."""
+        if not self.refused.count:
+            self.refused.first = now
+        self.refused.count += 1
+        self.refused.last = now
+
+    def due(self, now: int) -> int | None:
+        """us until a commit should begin; None while one is under way or nothing waits."""
+        if self.began is not None or not self.held:
+            return None
+        if self.writing:
+            return max(0, self.retry_at - now)
+        if len(self.waiting) >= MOST_IN_ONE:
+            return 0
+        return max(0, self.waiting[0][1] + self.linger - now)
+
+    def begin(self, now: int) -> list[Change]:
+        """The changes of the next commit, in the order they came. A batch that failed comes again as it was: its
+        commit may have reached the disk although that said otherwise, and the same put twice does no harm."""
+        assert self.began is None
+        if not self.writing:
+            for _ in range(min(MOST_IN_ONE, len(self.waiting))):
+                self.writing.append(self.waiting.popleft())
+        self.began = now
+        return [change for change, _ in self.writing]
+
+    def committed(self, now: int) -> int:
+        """The commit is on disk; returns how many changes that were."""
+        done = len(self.writing)
+        self.longest = max(self.longest, now - (self.began or now))
+        self.writing, self.began = [], None
+        self.commits += 1
+        self.trouble, self.wait = "", FIRST_WAIT
+        return done
+
+    def failed(self, trouble: str, now: int) -> None:
+        """The disk did not take the commit."""
+        self.began = None
+        self.trouble = trouble
+        self.retry_at = now + self.wait
+        self.wait = min(2 * self.wait, LONGEST_WAIT)
+
+    def condition(self, now: int) -> str:
+        """`well`, `slow`, or the trouble."""
+        if self.trouble:
+            return self.trouble
+        return "slow" if self.began is not None and now - self.began > SLOW else "well"
+
+    def at_risk(self, now: int) -> tuple[int, int]:
+        """What a power cut now would lose: changes, and the age of the oldest in us."""
+        oldest = self.writing[0][1] if self.writing else self.waiting[0][1] if self.waiting else now
+        return self.held, now - oldest
+
+    def take_refused(self) -> Refused:
+        """What was refused since this was last asked, where there is room again to say so; else nothing."""
+        if not self.refused.count or self.held >= self.most_waiting:
+            return Refused()
+        told, self.refused = self.refused, Refused()
+        return told
