--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,457 @@
+"""The ledger's decisions: entries, chain, settling, periods, reconciling. All pure."""
+
+import random
+from itertools import permutations
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wellhitch.lab.explore_ledger import Bounds, explore
+from wellhitch.ledger.book import OtherDisk, Seen, Standing, begun
+from wellhitch.ledger.chain import START, Chain, ChainName, read_row, row_bytes, verify
+from wellhitch.ledger.entries import (
+    Answered,
+    BadEntry,
+    Corrected,
+    Entry,
+    Lacking,
+    NumberKeys,
+    Over,
+    Restarted,
+    decode,
+    encode,
+)
+from wellhitch.ledger.periods import AGAIN as AGAIN_CLOSING
+from wellhitch.ledger.periods import MARGIN, PATIENCE, Agreement, Kept, Statement, end_of, next_of, period_of
+from wellhitch.ledger.reconcile import AGAIN, Allowance, Collection, Differ, Fetch, Look, Pull, answer
+from wellhitch.ledger.settle import SLACK, Views, gather
+from wellhitch.store.records import Change
+
+SECOND = 1_000_000
+DECEMBER = end_of("2026-11")
+NAME = ChainName(3, 77)
+
+
+def answered(side: str = "origin", answer: str = "stands", at: int = DECEMBER, **more: object) -> Answered:
+    return Answered(side, 3, 9, "card-lock", 5, answer, at, **more)  # type: ignore[arg-type]
+
+
+def over(side: str = "origin", stood: int = 5 * SECOND, how: str = "released") -> Over:
+    return Over(side, 3, 9, how, DECEMBER + stood, stood)
+
+
+# ---- entries ----
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_an_entry_or_a_named_error(data: bytes) -> None:
+    try:
+        entry = decode(data)
+    except BadEntry:
+        return
+    assert decode(encode(entry)) == entry
+
+
+def test_called_numbers_are_hashed_under_keys_that_change() -> None:
+    keys = NumberKeys({1: b"a" * 32, 2: b"b" * 32})
+    number, key = keys.hashed("0800123")
+    assert key == 2 and b"0800" not in number and keys.matches("0800123", number, 2)
+    old, _ = NumberKeys({1: b"a" * 32}).hashed("0800123")
+    assert old != number and keys.matches("0800123", old, 1)
+    assert NumberKeys({2: b"b" * 32}).matches("0800123", old, 1) is None  # the key was thrown away
+    with pytest.raises(ValueError, match="number key 3: 32 bytes, not 5"):
+        NumberKeys({3: b"short"})
+
+
+# ---- the chain ----
+
+
+def a_chain(rows: int = 12) -> list[tuple[int, bytes | None]]:
+    chain = Chain(NAME)
+    return [(n, row_bytes(chain.add(Lacking(n, 0, 0), "2026-12"))) for n in range(1, rows + 1)]
+
+
+def head(rows: list[tuple[int, bytes | None]]) -> tuple[int, bytes]:
+    seq, data = rows[-1]
+    assert data
+    return seq, read_row(data).hash(NAME)
+
+
+def test_a_whole_chain_verifies() -> None:
+    rows = a_chain()
+    assert list(verify(NAME, rows, head(rows))) == []
+
+
+@pytest.mark.parametrize(
+    ("what", "seq", "why"),
+    [
+        ("missing", 5, "missing"),
+        ("altered", 6, "does not follow row 5"),
+        ("damaged", 5, "damaged on disk"),
+        ("garbage", 5, "no row"),
+        ("cut off", 10, "missing to 12"),
+        ("rewritten", 12, "the chain was rewritten"),
+        ("twice", 5, "it says it is row 4"),
+        ("another chain's", 1, "does not reach"),
+    ],
+)
+def test_what_is_wrong_with_a_chain_is_found_and_named(what: str, seq: int, why: str) -> None:
+    rows = a_chain()
+    known = head(rows)
+    if what == "missing":
+        del rows[4]
+    elif what == "altered":
+        data = rows[4][1]
+        assert data
+        row = read_row(data)
+        rows[4] = (5, row_bytes(msgspec.structs.replace(row, entry=encode(Lacking(99, 0, 0)))))
+    elif what == "damaged":
+        rows[4] = (5, None)
+    elif what == "garbage":
+        rows[4] = (5, b"\x01\x02")
+    elif what == "cut off":
+        rows = rows[:9]
+    elif what == "rewritten":
+        chain = Chain(NAME)
+        rows = [(n, row_bytes(chain.add(Lacking(n + (n > 6), 0, 0), "2026-12"))) for n in range(1, 13)]
+    elif what == "twice":
+        rows[4] = (5, rows[3][1])
+    else:
+        # Rows of another chain under this one's keys: their hashes do not fit this chain's name.
+        other = Chain(ChainName(3, 78))
+        rows = [(n, row_bytes(other.add(Lacking(n, 0, 0), "2026-12"))) for n in range(1, 13)]
+        seq, why = 2, "does not follow row 1"
+    found = list(verify(NAME, rows, known))
+    assert (seq, True) in [(one.seq, why in one.why) for one in found], [str(one) for one in found]
+
+
+@given(st.integers(0, 11), st.integers(0, 7), st.data())
+def test_any_bit_flipped_in_any_row_is_found(at: int, bit: int, data: st.DataObject) -> None:
+    rows = a_chain()
+    known = head(rows)
+    seq, body = rows[at]
+    assert body
+    byte = data.draw(st.integers(0, len(body) - 1))
+    rows[at] = (seq, body[:byte] + bytes([body[byte] ^ 1 << bit]) + body[byte + 1 :])
+    assert list(verify(NAME, rows, known))
+
+
+# ---- the book ----
+
+
+def rows_of(changes: list[Change]) -> list[Entry]:
+    return [decode(read_row(one.body).entry) for one in changes if one.shelf == "chain" and one.body]
+
+
+SEEN = Seen("origin", 3, 9, "card-lock", 5, "0800123", 1, "north", ("a",), "v1")
+
+
+def test_a_dialogue_is_two_entries_and_its_span_is_by_the_loops_clock() -> None:
+    book, new = begun(3, None, None, 77, NumberKeys({1: b"k" * 32}))
+    assert new
+    first = book.answered(SEEN, "stands", DECEMBER, 1000)
+    # The wall clock went back an hour in between: the span is what the loop's clock says.
+    then = book.over("origin", 3, 9, "released", DECEMBER - 3600 * SECOND, 1000 + 7 * SECOND)
+    said = rows_of(first + then)
+    assert isinstance(said[0], Answered) and said[0].tenant == "north" and said[0].tags == ("a",)
+    assert isinstance(said[1], Over) and said[1].stood == 7 * SECOND
+    assert book.over("origin", 3, 9, "released", DECEMBER, 0) == []  # twice: nothing more
+    assert not book.standing
+
+
+def test_a_clock_set_back_at_a_periods_end_makes_late_rows_not_changed_periods() -> None:
+    book, _ = begun(3, None, None, 77, NumberKeys({}))
+    end = end_of("2026-12")
+    book.answered(SEEN, "pushed_back", end - SECOND, 0)
+    told = book.statement("2026-12")
+    assert (told.seq, told.hash) == (1, book.chain.last)
+    late = book.answered(SEEN, "pushed_back", end - 1800 * SECOND, 0)
+    row = read_row(late[0].body or b"")
+    assert (row.period, row.late_for) == ("2027-01", "2026-12")
+
+
+def test_after_a_crash_what_stood_is_cut_as_of_the_last_moment_of_life() -> None:
+    book, _ = begun(3, None, None, 77, NumberKeys({}))
+    book.answered(SEEN, "stands", DECEMBER, 0)
+    identity = book.alive(DECEMBER + 5 * SECOND)[0].body
+    again, new = begun(3, identity, (book.chain.seq, book.chain.last), 99, NumberKeys({}))
+    assert not new and again.chain.name == book.chain.name and again.chain.last == book.chain.last
+    said = rows_of(again.restarted([Standing("origin", 3, 9, DECEMBER)], 20_000, DECEMBER + 60 * SECOND))
+    assert said == [
+        Restarted(DECEMBER + 60 * SECOND, DECEMBER + 5 * SECOND, 20_000),
+        Over("origin", 3, 9, "restart", DECEMBER + 5 * SECOND, 5 * SECOND),
+    ]
+    with pytest.raises(OtherDisk, match="that of call server 3, not 4"):
+        begun(4, identity, None, 1, NumberKeys({}))
+
+
+def test_an_old_disk_begins_another_chain_and_uses_no_row_twice() -> None:
+    book, _ = begun(3, None, None, 77, NumberKeys({}))
+    book.answered(SEEN, "pushed_back", DECEMBER, 0)
+    changes = book.new_chain(78, DECEMBER)
+    row = book.answered(SEEN, "pushed_back", DECEMBER, 0)[0]
+    assert ChainName.of_key(row.key) == (ChainName(3, 78), 1) and read_row(row.body or b"").before == START
+    assert msgspec.msgpack.decode(changes[0].body or b"")[1] == [77, 78]
+
+
+# ---- settling ----
+
+ENTRIES = st.one_of(
+    st.builds(
+        answered,
+        st.sampled_from(["origin", "tandem", "destination"]),
+        st.sampled_from(["stands", "stands", "stands", "pushed_back", "gone"]),
+        st.integers(DECEMBER, DECEMBER + 3),
+    ),
+    st.builds(
+        over,
+        st.sampled_from(["origin", "tandem", "destination"]),
+        st.integers(0, 9).map(lambda n: n * SECOND),
+    ),
+    st.builds(lambda n: Corrected(3, 9, n * SECOND, "ana", "wrong", DECEMBER), st.integers(-5, 5)),
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(ENTRIES, max_size=7), st.randoms(use_true_random=False), st.integers(0, 7))
+def test_every_end_settles_alike_whatever_the_order_and_however_often(
+    entries: list[Entry], chance: random.Random, cut: int
+) -> None:
+    one = gather(entries).get((3, 9), Views((3, 9))).settled()
+    mixed = [*entries, *entries[:cut]]
+    chance.shuffle(mixed)
+    assert gather(mixed).get((3, 9), Views((3, 9))).settled() == one
+    # Two ends that each know a part and then all: the same again.
+    left, right = gather(entries[:cut]), gather(entries[cut:])
+    joined = left.get((3, 9), Views((3, 9)))
+    joined.join(right.get((3, 9), Views((3, 9))))
+    assert joined.settled() == one and one.billed >= 0
+
+
+@pytest.mark.parametrize(
+    ("entries", "state", "billed", "dispute"),
+    [
+        ([answered(), over()], "billed", 5 * SECOND, ""),
+        ([answered(), over(), answered("destination"), over("destination", 4 * SECOND)], "billed", 4 * SECOND, ""),
+        ([answered(), over(stood=60 * SECOND), over("destination", SECOND), answered("destination")], "billed",
+         SECOND, "destination 1000000, origin 60000000"),
+        ([answered(answer="forfeited"), answered("destination"), over("destination")], "not_billed", 0,
+         "origin forfeited"),
+        ([answered(), over(), answered("tandem", "pushed_back")], "billed", 0, "origin 5000000, tandem 0"),
+        ([answered("destination"), over("destination")], "orphan", 0, ""),
+        ([answered()], "open", 0, ""),
+        ([answered(), over(), answered("destination")], "billed", 5 * SECOND, ""),
+        ([answered(), over(), Corrected(3, 9, -9 * SECOND, "ana", "x", 0)], "billed", 0, ""),
+        ([answered(), over(), over(stood=3 * SECOND)], "billed", 3 * SECOND, ""),
+    ],
+)  # fmt: skip
+def test_what_the_rule_says(entries: list[Entry], state: str, billed: int, dispute: str) -> None:
+    for order in permutations(entries):
+        found = gather(order)[3, 9].settled()
+        assert (found.state, found.billed) == (state, billed) and found.dispute.startswith(dispute)
+        assert bool(found.dispute) == bool(dispute)
+    assert SLACK > SECOND
+
+
+# ---- periods ----
+
+
+def test_periods_have_names_and_ends() -> None:
+    assert period_of(DECEMBER) == "2026-12" and period_of(DECEMBER - 1) == "2026-11"
+    assert next_of("2026-12") == "2027-01" and end_of("2026-12") - end_of("2026-11") == 31 * 86_400 * SECOND
+    with pytest.raises(ValueError):
+        end_of("2026-13")
+
+
+def said(number: int) -> Statement:
+    return Statement(number, 1, 5, b"h")
+
+
+class Town:
+    """Instances whose messages are lost, doubled and late by chance."""
+
+    def __init__(self, count: int, chance: random.Random, loss: float) -> None:
+        self.chance, self.loss = chance, loss
+        roster = tuple(range(count))
+        self.all = [Agreement(me, roster, Kept("2026-12")) for me in roster]
+        self.sent: list[tuple[int, int, object]] = []
+        self.away: set[int] = set()
+
+    def do(self, me: int, out: object) -> None:
+        for to, message in out.send:  # type: ignore[attr-defined]
+            self.sent += [(me, to, message)] * self.chance.choice([1, 1, 2])
+
+    def run(self, turns: int, wall: int) -> None:
+        """Turns of AGAIN; a message goes when it will, some in the turn after."""
+        for turn in range(turns):
+            for one in self.all:
+                if one.me not in self.away:
+                    self.do(one.me, one.again(wall + turn * AGAIN_CLOSING))
+            for _ in range(3 * len(self.sent)):
+                if not self.sent:
+                    break
+                sender, to, message = self.sent.pop(self.chance.randrange(len(self.sent)))
+                if self.chance.random() >= self.loss and to not in self.away and sender not in self.away:
+                    self.do(to, self.all[to].heard(sender, message))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 7])
+def test_a_period_closes_with_all_statements_whatever_is_lost(count: int) -> None:
+    for seed in range(15):
+        town = Town(count, random.Random(seed), 0.3)
+        for one in town.all:
+            town.do(one.me, one.state_mine(said(one.me)))
+        town.run(60 * count, end_of("2026-12") + MARGIN + 60 * SECOND)
+        assert {one.kept.closed for one in town.all} == {tuple(said(n) for n in range(count))}
+        assert {one.state for one in town.all} == {"closed"}
+
+
+def test_an_instance_that_is_away_is_left_out_after_patience_and_not_before() -> None:
+    town = Town(3, random.Random(1), 0.2)
+    town.away = {1}
+    for me in (0, 2):
+        town.do(me, town.all[me].state_mine(said(me)))
+    end = end_of("2026-12")
+    town.run(100, end + PATIENCE - 1000 * SECOND)
+    assert [one.state for one in town.all] == ["closing", "open", "closing"]
+    town.run(100, end + PATIENCE + 60 * SECOND)
+    assert town.all[0].kept.closed == (said(0), said(2)) == town.all[2].kept.closed
+    # It comes back, says its own, and hears what was closed without it.
+    town.away = set()
+    town.do(1, town.all[1].state_mine(said(1)))
+    town.run(20, end + 2 * PATIENCE)
+    assert town.all[1].kept.closed == (said(0), said(2))
+
+
+def test_without_a_majority_nothing_closes() -> None:
+    town = Town(3, random.Random(1), 0.0)
+    town.away = {1, 2}
+    town.all[0].state_mine(said(0))
+    town.run(100, end_of("2026-12") + 2 * PATIENCE)
+    assert town.all[0].state == "closing"
+
+
+def test_no_interleaving_closes_a_period_in_two_ways() -> None:
+    found = explore(Bounds(2, 1, 1), 50_000)
+    assert found.whole and not found.broken and found.states > 4_000
+    assert not explore(Bounds(3, 1, 0, 2), 12_000).broken
+
+
+def test_the_search_finds_an_agreement_that_is_too_easily_content() -> None:
+    class Alone(Agreement):
+        @property
+        def majority(self) -> int:
+            return 1
+
+    assert explore(Bounds(2, 1, 0), 50_000, Alone).broken == "a period closed in two ways"
+
+    class Stubborn(Agreement):
+        """Proposes its own content, whatever may be chosen already."""
+
+        def _promised(self, sender, message):  # type: ignore[no-untyped-def]
+            message = msgspec.structs.replace(message, accepted=None, content=())
+            return super()._promised(sender, message)
+
+    assert explore(Bounds(2, 1, 0), 400_000, Stubborn).broken == "a period closed in two ways"
+
+
+# ---- reconciling ----
+
+
+def items(count: int, seed: int = 1) -> list[tuple[bytes, bytes]]:
+    chance = random.Random(seed)
+    return [(n.to_bytes(8, "big"), chance.randbytes(16)) for n in range(count)]
+
+
+def level(mine: Collection, theirs: Collection, chance: random.Random, loss: float) -> tuple[Pull, int, int]:
+    """Pull until level; bytes and rounds."""
+    pull, now, size, steps = Pull("t", mine), 0, 0, 0
+    late: list[object] = []
+    while not pull.done:
+        steps += 1
+        assert steps < 2000
+        for message in pull.next(now):
+            size += len(msgspec.msgpack.encode(message))
+            if chance.random() < loss:
+                continue
+            if isinstance(message, Look):
+                late.append(answer(theirs, message))
+            elif isinstance(message, Fetch):
+                late += [[(key, theirs.get(key) or b"") for key in message.keys]]
+        chance.shuffle(late)
+        for _ in range(len(late)):
+            back = late.pop()
+            size += len(msgspec.msgpack.encode(back))
+            for _ in range(chance.choice([1, 1, 2])):
+                if chance.random() < loss:
+                    continue
+                if isinstance(back, Differ):
+                    pull.heard(back)
+                else:
+                    for key, digest in back:  # type: ignore[attr-defined]
+                        pull.took(key, digest)
+        now += AGAIN
+    return pull, size, pull.rounds
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.sets(st.integers(0, 400)),
+    st.sets(st.integers(0, 400)),
+    st.integers(0, 99),
+    st.sampled_from([0.0, 0.3]),
+)
+def test_after_a_pull_nothing_of_the_other_end_is_lacking(
+    mine: set[int], theirs: set[int], seed: int, loss: float
+) -> None:
+    all_items = items(401)
+    a, b = Collection(), Collection()
+    order = list(mine)
+    random.Random(seed).shuffle(order)
+    a.extend(all_items[n] for n in order)
+    b.extend(all_items[n] for n in sorted(theirs))
+    pull, _, _ = level(a, b, random.Random(seed), loss)
+    assert a.keys == [all_items[n][0] for n in sorted(mine | theirs)]
+    # What is only here may have been looked at or not; it is never called altered, and never what is there.
+    assert set(pull.strange) <= {all_items[n][0] for n in mine - theirs}
+    assert set(pull.strange.values()) <= {"only here"}
+
+
+def test_bytes_grow_with_the_differences_and_not_with_the_items() -> None:
+    sizes = {}
+    for count in (1_000, 16_000):
+        for missing in (0, 10):
+            a, b = Collection(), Collection()
+            whole = items(count)
+            b.extend(whole)
+            gone = set(random.Random(3).sample(range(count), missing))
+            a.extend(one for n, one in enumerate(whole) if n not in gone)
+            _, sizes[count, missing], _ = level(a, b, random.Random(1), 0.0)
+    assert sizes[16_000, 0] == sizes[1_000, 0] < 100
+    assert sizes[16_000, 10] < 2.5 * sizes[1_000, 10] and sizes[16_000, 10] < 16_000 * 24 * 0.1
+
+
+def test_an_altered_row_is_evidence_and_is_not_taken_over() -> None:
+    a, b = Collection(), Collection()
+    a.extend(items(50))
+    b.extend(items(50))
+    b.add(items(50)[7][0], b"x" * 16)
+    pull, _, _ = level(a, b, random.Random(1), 0.0)
+    assert pull.strange == {items(50)[7][0]: "differs"} and a.get(items(50)[7][0]) == items(50)[7][1]
+    assert not pull.took(b"k", b"d")  # a row that nobody asked for
+
+
+def test_two_items_that_trade_their_digests_are_seen() -> None:
+    a, b = Collection(), Collection()
+    a.extend([(b"a", b"1"), (b"b", b"2")])
+    b.extend([(b"a", b"2"), (b"b", b"1")])
+    assert a.part(b"", b"").sum != b.part(b"", b"").sum
+
+
+def test_an_allowance_bounds_the_bytes_of_a_second() -> None:
+    allowance, sent = Allowance(rate=1000, left=0), 0
+    for now in range(0, 10 * SECOND, SECOND // 100):
+        sent += 300 if allowance.may(300, now) else 0
+    assert 9_000 <= sent <= 10_000
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -331,7 +331,7 @@
         self.keeper = Keeper(
             self.loop, self.disk, "s", lambda event, **facts: self.words.append((event, facts)), **more
         )
-        self.keeper.open(lambda engine: None)
+        self.keeper.open(lambda engine: None, lambda found: None)
 
     def put(self, n: int) -> bool:
         return self.keeper.put([change(n)], lambda: self.safe.append(n))
@@ -389,7 +389,7 @@
     world.keeper = Keeper(
         world.loop, world.disk, "s", lambda event, **facts: world.words.append((event, facts))
     )
-    world.keeper.open(lambda engine: None)
+    world.keeper.open(lambda engine: None, lambda found: None)
     world.loop.advance(1)
     assert world.keeper.condition().state == "in_use" and world.put(1)
     world.disk.locked.clear()
--- a/wellhitch/cli/serve.py
+++ b/wellhitch/cli/serve.py
@@ -2,22 +2,30 @@
 
 import asyncio
 import os
+import random
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
+import msgspec
 
 from wellhitch.cli.check import read_sheet
 from wellhitch.cli.errors import told_plainly
 from wellhitch.cli.logs import set_up
+from wellhitch.ledger.desk import Desk
+from wellhitch.ledger.entries import NumberKeys
 from wellhitch.net.seam import LoopbackNetwork, now_us
-from wellhitch.server.daemon import Daemon, Doors, Log
+from wellhitch.server.daemon import Daemon, Doors, Log, MakeDesk
 from wellhitch.server.hooked import WallClock
+from wellhitch.settings.checked import Faults
 from wellhitch.settings.sheet import Sheet, opened
+from wellhitch.store.system import SystemDisk
 
+CLOSE_WITHIN_S = 10.0  # for the ledger's last commit; a disk that takes longer is as good as lost
 STOP_WITHIN = 10_000_000  # us; longer than any outer limit seen, so that what is owed can be answered
 
 
@@ -37,7 +45,36 @@
     """
     with told_plainly():
         sheet = read_sheet(file)
-    sys.exit(asyncio.run(_serve(sheet, file, log_level)))
+        keys = read_number_keys(sheet, file)
+    sys.exit(asyncio.run(_serve(sheet, file, log_level, keys)))
+
+
+def read_number_keys(sheet: Sheet, file: Path) -> NumberKeys:
+    """The keys for called numbers that a sheet names. Raises Faults."""
+    if not sheet.ledger or not sheet.ledger.number_keys:
+        return NumberKeys({})
+    path = file.parent / sheet.ledger.number_keys
+    try:
+        plain = msgspec.json.decode(path.read_bytes(), type=dict[str, str])
+        return NumberKeys({int(number): bytes.fromhex(key) for number, key in plain.items()})
+    except (OSError, msgspec.MsgspecError, ValueError) as fault:
+        raise Faults(str(path), [f"ledger.number_keys: {fault}"]) from None
+
+
+def _ledger(sheet: Sheet, disk: SystemDisk, keys: NumberKeys, epoch: float) -> MakeDesk:
+    """The desk of a sheet's ledger. `epoch`: the wall clock's seconds when the loop's were nought."""
+    line = sheet.ledger
+    assert line
+
+    def make(loop: asyncio.AbstractEventLoop, send: Callable[[int, bytes], bool], log: Log) -> Desk:
+        def wall(now: int) -> int:
+            return now + round(epoch * 1e6)
+
+        # The mark of a new disk must differ from that of any disk of this instance before.
+        chance = random.Random(f"{sheet.seed} {os.getpid()} {epoch}")
+        return Desk(loop, disk, sheet.number, line.roster, keys, wall, send, log, chance)
+
+    return make
 
 
 def wall_clock(began: float, now: int) -> WallClock:
@@ -71,7 +108,7 @@
         log("hooks_state_not_kept", why=f"{state}: {fault}")
 
 
-async def _serve(sheet: Sheet, file: Path, log_level: str) -> int:
+async def _serve(sheet: Sheet, file: Path, log_level: str, keys: NumberKeys) -> int:
     loop = asyncio.get_running_loop()
     logger = set_up(log_level)
     over: asyncio.Future[int] = loop.create_future()
@@ -90,6 +127,8 @@
     # A mark that is new with each start: the process id and the loop's clock, which nothing else reads.
     boot = (now_us(loop) << 16 | os.getpid() & 0xFFFF) & ((1 << 62) - 1)
     doors = Doors(d.callers, d.peers, d.operators, d.register, d.centre)
+    disk = SystemDisk(loop, file.parent / sheet.ledger.folder) if sheet.ledger else None
+    make_desk = _ledger(sheet, disk, keys, time.time() - now_us(loop) / 1e6) if disk else None
     daemon = Daemon(
         loop,
         LoopbackNetwork(loop),
@@ -101,6 +140,7 @@
         hooks=sheet.hooks,
         clock=wall_clock(time.time(), now_us(loop)),
         reread=lambda: read_sheet(file).hooks,
+        ledger=make_desk,
     )
     loop.set_exception_handler(trouble)
     state = file.parent / sheet.hooks_state if sheet.hooks_state else None
@@ -130,6 +170,11 @@
     if keeping is not None and state is not None:
         keeping.cancel()
         _write(state, daemon.hooks_state(), log)
+    closed = asyncio.Event()
+    daemon.ledger_closed = closed.set  # type: ignore[method-assign]
     daemon.kill()
+    if disk:
+        await asyncio.wait_for(closed.wait(), CLOSE_WITHIN_S)
+        disk.close()
     await asyncio.sleep(0)
     return code
--- a/wellhitch/emulator/disk.py
+++ b/wellhitch/emulator/disk.py
@@ -118,8 +118,9 @@
         if self.loop is None:
             done(found)
             return
-        self._free_at = max(self._free_at, round(self.loop.time() * 1e6)) + self.took_us
-        self.loop.call_at(self._free_at / 1e6, done, found)
+        now = round(self.loop.time() * 1e6)
+        self._free_at = max(self._free_at, now) + self.took_us
+        self.loop.call_later((self._free_at - now) / 1e6, done, found)
 
     # -- life and death --
 
--- a/wellhitch/lab/fleet.py
+++ b/wellhitch/lab/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -14,14 +15,17 @@
 
 import msgspec
 
+from wellhitch.emulator.disk import EmulatedDisk
 from wellhitch.emulator.network import EmulatedNetwork
 from wellhitch.emulator.party import PartyLoop
 from wellhitch.interface.events import Opened
+from wellhitch.ledger.desk import Desk
+from wellhitch.ledger.entries import NumberKeys
 from wellhitch.net.seam import LoopbackNetwork
-from wellhitch.server.daemon import Daemon, Doors, Log
+from wellhitch.server.daemon import Daemon, Doors, Log, MakeDesk
 from wellhitch.server.switch import Outlet, Switch
 from wellhitch.settings.day import Day
-from wellhitch.settings.sheet import DoorLine, Sheet, UseCaseLine, opened, span
+from wellhitch.settings.sheet import DoorLine, LedgerLine, Sheet, UseCaseLine, opened, span
 from wellhitch.stand_ins.troubles import CannotPlay
 
 
@@ -67,6 +71,7 @@
         rules=day.rules,
         limits=day.limits,
         hooks=day.hooks,
+        ledger=LedgerLine(f"ledger-{number}", [one.number for one in day.exchanges]) if day.ledger else None,
         doors=DoorLine(
             callers=addresses.of(host, "callers"),
             register=addresses.of("register", "list"),
@@ -119,6 +124,8 @@
     parties: dict[int, PartyLoop] = field(default_factory=dict)
     make_switch: Callable[[Opened, int, Outlet], Switch] = Switch
     clocks: dict[int, float] = field(default_factory=dict)  # seconds that a call server's clock is ahead
+    disks: dict[int, EmulatedDisk] = field(default_factory=dict)
+    wall_at_start: int = 1_796_083_200_000_000  # us since 1970 as the day begins: the first of December 2026
 
     def start(self, number: int) -> None:
         """As `Servers`."""
@@ -142,9 +149,28 @@
             self.log(number),
             self.make_switch,
             hooks=sheet.hooks,
+            ledger=self._desk(number) if self.day.ledger else None,
         )
         daemon.start()
 
+    def _desk(self, number: int) -> MakeDesk:
+        """A ledger on an emulated disk that outlives the process."""
+        roster = tuple(one.number for one in self.day.exchanges)
+        keys = NumberKeys({1: bytes([number % 256]) * 32})
+        life = self.boots[number]
+
+        def make(loop: asyncio.AbstractEventLoop, send: Callable[[int, bytes], bool], log: Log) -> Desk:
+            disk = self.disks.get(number)
+            if disk is None:
+                disk = self.disks[number] = EmulatedDisk(number)
+            disk.loop = loop
+            chance = random.Random(f"{self.day.seed} {number} {life}")
+            return Desk(
+                loop, disk, number, roster, keys, lambda now: now + self.wall_at_start, send, log, chance
+            )
+
+        return make
+
     def kill(self, number: int) -> None:
         """As `Servers`."""
         daemon = self.daemons.pop(number)
@@ -154,6 +180,9 @@
         host = f"server-{number}"
         self.parties[number].gone = True
         daemon.stopped = True
+        if daemon.desk:
+            daemon.desk.kill()
+            self.disks[number] = self.disks[number].after_kill()
         for listener in daemon.listeners.values():
             listener.close()
         self.net.reset_host(host)
--- /dev/null
+++ b/wellhitch/ledger/book.py
@@ -0,0 +1,214 @@
+"""Makes entries of what the server sees and binds them into the chain. Pure: changes for the store are returned, the
+wall clock and the loop's are handed in.
+
+A dialogue that stands is noted on a shelf of its own, so that after a crash it is known what stood, without reading the
+chain. Shelves:
+
+    identity   whose disk this is, the present chain, the last moment it surely lived
+    chain      rows of own chains, by chain and row
+    standing   dialogues that stand now
+    about      own rows about another's dialogues, by their origin: period (7 bytes) and hash; what it may ask for
+    period     what must not be forgotten of each period (`periods.Kept`)
+    heard      rows of others, about dialogues of this origin"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from wellhitch.ledger.chain import START, Chain, ChainName, Row, row_bytes
+from wellhitch.ledger.entries import Answered, Entry, Lacking, NumberKeys, Over, Restarted
+from wellhitch.ledger.periods import Statement, next_of, period_of
+from wellhitch.store.records import Change
+
+CHAIN, STANDING, ABOUT, PERIOD, IDENTITY, HEARD = "chain", "standing", "about", "period", "identity", "heard"
+ALIVE_EVERY = (
+    1_000_000  # us between notes of life: what a dialogue cut by a crash is billed too little at most
+)
+SIDE_CODES = {"origin": 0, "tandem": 1, "destination": 2}
+
+
+class Identity(msgspec.Struct, array_like=True):
+    """Whose disk this is. `marks`: of all its chains, the present last."""
+
+    number: int
+    marks: list[int]
+    alive: int = 0
+
+
+class Standing(msgspec.Struct, frozen=True, array_like=True):
+    """A dialogue that stands."""
+
+    side: str
+    origin: int
+    dialogue: int
+    at: int
+
+
+class OtherDisk(Exception):
+    """The disk belongs to another instance."""
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A dialogue as the server tells it."""
+
+    side: str
+    origin: int
+    dialogue: int
+    use_case: str
+    destination: int
+    called: str | None
+    width: int = 1
+    tenant: str | None = None
+    tags: tuple[str, ...] = ()
+    hooks: str = ""
+
+
+def standing_key(side: str, origin: int, dialogue: int) -> bytes:
+    """The store's key of a dialogue that stands."""
+    return (
+        origin.to_bytes(4, "big") + (dialogue & (1 << 64) - 1).to_bytes(8, "big") + bytes([SIDE_CODES[side]])
+    )
+
+
+@dataclass(slots=True)
+class Book:
+    """One instance's own entries."""
+
+    identity: Identity
+    chain: Chain
+    keys: NumberKeys
+    stated: set[str] = field(default_factory=set)
+    standing: dict[bytes, tuple[Standing, int]] = field(default_factory=dict)
+    added: int = 0
+
+    # -- rows --
+
+    def _row(self, entry: Entry, wall: int, about: int | None = None) -> list[Change]:
+        period, late_for = period_of(wall), ""
+        while period in self.stated:
+            # The clock was set back, or staff closed early: the statement holds, the row goes on into the next.
+            late_for = late_for or period
+            period = next_of(period)
+        row = self.chain.add(entry, period, late_for)
+        self.added += 1
+        key = self.chain.name.key(row.seq)
+        out = [Change(CHAIN, key, row_bytes(row))]
+        if about is not None and about != self.identity.number:
+            body = period.encode() + self.chain.last
+            out.append(Change(ABOUT, about.to_bytes(4, "big") + key, body))
+        return out
+
+    def answered(self, seen: Seen, answer: str, wall: int, now: int) -> list[Change]:
+        """A dialogue got its answer here."""
+        number, number_key = self.keys.hashed(seen.called)
+        entry = Answered(
+            seen.side,
+            seen.origin,
+            seen.dialogue,
+            seen.use_case,
+            seen.destination,
+            answer,
+            wall,
+            seen.width,
+            seen.tenant or "",
+            number,
+            number_key,
+            seen.tags,
+            seen.hooks,
+        )
+        out = self._row(entry, wall, seen.origin)
+        if answer == "stands":
+            key = standing_key(seen.side, seen.origin, seen.dialogue)
+            held = Standing(seen.side, seen.origin, seen.dialogue, wall)
+            self.standing[key] = held, now
+            out.append(Change(STANDING, key, msgspec.msgpack.encode(held)))
+        return out
+
+    def over(self, side: str, origin: int, dialogue: int, how: str, wall: int, now: int) -> list[Change]:
+        """A dialogue that stood is over. How long it stood is by the loop's clock, which nobody sets back."""
+        key = standing_key(side, origin, dialogue)
+        held = self.standing.pop(key, None)
+        if held is None:
+            return []  # it never stood as far as this ledger was told: nothing to end
+        entry = Over(side, origin, dialogue, how, wall, max(0, now - held[1]))
+        return [*self._row(entry, wall, origin), Change(STANDING, key, None)]
+
+    def witnessed(self, seen: Seen, how: str, stood: int, wall: int) -> list[Change]:
+        """The own office told of a dialogue that ended in this exchange and is over: both entries at once."""
+        number, number_key = self.keys.hashed(seen.called)
+        answer = Answered(
+            seen.side,
+            seen.origin,
+            seen.dialogue,
+            seen.use_case,
+            seen.destination,
+            "stands",
+            wall - stood,
+            seen.width,
+            "",
+            number,
+            number_key,
+        )
+        over = Over(seen.side, seen.origin, seen.dialogue, how, wall, stood)
+        return self._row(answer, wall, seen.origin) + self._row(over, wall, seen.origin)
+
+    def add(self, entry: Entry, wall: int) -> list[Change]:
+        """An entry of staff's, or of the ledger itself."""
+        return self._row(entry, wall)
+
+    def lacking(self, count: int, first: int, last: int, wall: int) -> list[Change]:
+        """Entries found no room on the disk: say so."""
+        return self._row(Lacking(count, first, last), wall)
+
+    # -- life --
+
+    def alive(self, wall: int) -> list[Change]:
+        """Note that this instance lives."""
+        self.identity.alive = max(self.identity.alive, wall)
+        return [Change(IDENTITY, b"", msgspec.msgpack.encode(self.identity))]
+
+    def statement(self, period: str) -> Statement:
+        """How far the chain goes for a period; nothing is added to it for that period from now on."""
+        self.stated.add(period)
+        return Statement(self.identity.number, self.chain.name.mark, self.chain.seq, self.chain.last)
+
+    def restarted(self, standing: Iterable[Standing], unsafe: int, wall: int) -> list[Change]:
+        """What a process that begins on an old chain says first: what stood is cut, as of the last moment that the one
+        before surely lived."""
+        alive = self.identity.alive
+        out = self._row(Restarted(wall, alive, unsafe), wall)
+        for held in standing:
+            # A clock set back between the two lives must not make a span under nought.
+            over = Over(held.side, held.origin, held.dialogue, "restart", alive, max(0, alive - held.at))
+            out += self._row(over, wall, held.origin)
+            out.append(Change(STANDING, standing_key(held.side, held.origin, held.dialogue), None))
+        return out
+
+    def new_chain(self, mark: int, wall: int) -> list[Change]:
+        """Begin another chain: this disk is older than what others know of it, and its row numbers are used up."""
+        self.identity.marks.append(mark)
+        self.chain = Chain(ChainName(self.identity.number, mark))
+        return self.alive(wall)
+
+
+def begun(
+    number: int, found: bytes | None, last: tuple[int, bytes] | None, mark: int, keys: NumberKeys
+) -> tuple[Book, bool]:
+    """The book of an instance, from its identity record and the last row of its present chain (its place and hash); and
+    whether the disk is new. Raises OtherDisk where it is another instance's."""
+    if found is None:
+        identity = Identity(number, [mark])
+        return Book(identity, Chain(ChainName(number, mark)), keys), True
+    identity = msgspec.msgpack.decode(found, type=Identity)
+    if identity.number != number:
+        raise OtherDisk(f"this disk is that of call server {identity.number}, not {number}")
+    name = ChainName(number, identity.marks[-1])
+    seq, hash_ = last or (0, START)
+    return Book(identity, Chain(name, seq, hash_), keys), False
+
+
+def last_of(name: ChainName, row: Row | None) -> tuple[int, bytes]:
+    """Place and hash of a chain's last row."""
+    return (row.seq, row.hash(name)) if row else (0, START)
--- /dev/null
+++ b/wellhitch/ledger/desk.py
@@ -0,0 +1,535 @@
+"""The ledger in service: joins the book, the store, the agreement on periods and the pulls from other instances to a
+loop. It decides nothing of these; a dialogue never waits for it."""
+
+import asyncio
+import random
+import shlex
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from wellhitch.ledger import periods, reconcile
+from wellhitch.ledger.book import (
+    ABOUT,
+    ALIVE_EVERY,
+    CHAIN,
+    HEARD,
+    IDENTITY,
+    PERIOD,
+    STANDING,
+    Book,
+    Identity,
+    OtherDisk,
+    Seen,
+    Standing,
+    begun,
+    last_of,
+)
+from wellhitch.ledger.chain import ChainName, Row, read_row
+from wellhitch.ledger.entries import BadEntry, Corrected, NumberKeys
+from wellhitch.ledger.periods import Agreement, Kept, Outcome, end_of, next_of, period_of
+from wellhitch.ledger.reconcile import Allowance, Collection, Pull
+from wellhitch.net.seam import now_us
+from wellhitch.store.engine import Engine
+from wellhitch.store.keeper import Disk, Keeper
+from wellhitch.store.records import Change, Damaged
+from wellhitch.store.writer import LINGER
+
+STORE = "ledger"
+DIGEST = 16  # bytes of a row's hash by which it is told apart in a pull
+PULL_EVERY = (
+    10_000_000  # us between two pulls from the same instance when all is level: evidence is so old at most
+)
+MOST_EARLY = 20_000  # events kept while the store is not open yet: 20 s of 520 dialogues a second, two each
+ROOM = 6  # changes that one event makes at most, with a gap before it
+
+Message = periods.Message | reconcile.Message
+MESSAGE = msgspec.msgpack.Decoder(Message)
+
+
+@dataclass(slots=True)
+class Found:
+    """What the store holds when it is opened."""
+
+    identity: bytes | None = None
+    last: tuple[int, bytes] | None = None
+    standing: list[Standing] = field(default_factory=list)
+    periods: dict[str, Kept] = field(default_factory=dict)
+    about: list[tuple[int, str, bytes, bytes]] = field(default_factory=list)
+    heard: list[tuple[str, bytes, bytes]] = field(default_factory=list)
+    damaged: int = 0
+
+
+def read_store(engine: Engine) -> Found:
+    """Read what a desk needs to begin, on the disk."""
+    out = Found()
+    found = engine.get(IDENTITY, b"")
+    if found:
+        out.identity = found[1]
+        identity = msgspec.msgpack.decode(found[1], type=Identity)
+        name = ChainName(identity.number, identity.marks[-1])
+        for one in engine.scan(CHAIN, name.key(), name.key((1 << 64) - 1), back=True):
+            if not isinstance(one, Damaged):
+                out.last = last_of(name, read_row(one[2]))
+                break
+            out.damaged += 1
+    for one in engine.scan(STANDING):
+        if not isinstance(one, Damaged):
+            out.standing.append(msgspec.msgpack.decode(one[2], type=Standing))
+    for one in engine.scan(PERIOD):
+        if not isinstance(one, Damaged):
+            kept = periods.KEPT.decode(one[2])
+            out.periods[kept.period] = kept
+    open_periods = {name for name, kept in out.periods.items() if kept.closed is None}
+    newest = max(out.periods, default="")
+    for one in engine.scan(ABOUT):
+        if not isinstance(one, Damaged):
+            period = one[2][:7].decode()
+            if period in open_periods or period > newest:
+                out.about.append((int.from_bytes(one[0][:4], "big"), period, one[0][4:], one[2][7:]))
+    for one in engine.scan(HEARD):
+        if not isinstance(one, Damaged):
+            row = read_row(one[2])
+            if row.period in open_periods or row.period > newest:
+                name, _ = ChainName.of_key(one[0])
+                out.heard.append((row.period, one[0], row.hash(name)))
+    return out
+
+
+class Desk:
+    """One instance's ledger. `send` carries bytes to another instance and tells whether a link was there; `wall` turns
+    the loop's time into the wall's, both in us."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        disk: Disk,
+        number: int,
+        roster: Iterable[int],
+        keys: NumberKeys,
+        wall: Callable[[int], int],
+        send: Callable[[int, bytes], bool],
+        log: Callable[..., None],
+        chance: random.Random,
+        linger: int = LINGER,
+    ) -> None:
+        self.loop, self.number, self.wall_at, self.send_bytes, self.write_log = loop, number, wall, send, log
+        self.roster = tuple(sorted({number, *roster}))
+        self.keys, self.chance = keys, chance
+        self.keeper = Keeper(loop, disk, STORE, log, linger)
+        self.counts: Counter[str] = Counter()
+        self.book: Book | None = None
+        self.agreements: dict[str, Agreement] = {}
+        self.period = ""  # the one that is open
+        self.about: dict[tuple[int, str], Collection] = {}  # own rows, by origin and period
+        self.heard: dict[tuple[int, str], Collection] = {}  # others' rows about own dialogues
+        self.pulls: dict[tuple[int, str], Pull] = {}
+        self.pulled: dict[tuple[int, str], int] = {}
+        self.level: set[tuple[int, str]] = set()  # pulled to the end after the other end's statement
+        self.allowance = Allowance()
+        self.told_closed: set[str] = set()
+        self.refused_disk = ""
+        self._early: deque[Callable[[], None]] = deque()
+        self._unsaid: deque[tuple[str, int, int, str, int, int]] = deque()
+        self._again = 0
+        self._tick: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    # -- beginning --
+
+    def start(self) -> None:
+        """Open the store; what the server tells meanwhile is kept."""
+        self.keeper.open(read_store, self._ready)
+        self._tick = self.loop.call_later(ALIVE_EVERY / 1e6, self._ticked)
+
+    def _now(self) -> int:
+        return now_us(self.loop)
+
+    def wall(self) -> int:
+        """The wall clock now, in us."""
+        return self.wall_at(self._now())
+
+    def _ready(self, found: Found) -> None:
+        try:
+            self.book, new = begun(
+                self.number, found.identity, found.last, self.chance.getrandbits(62), self.keys
+            )
+        except OtherDisk as fault:
+            # Nothing is written to another's disk; calls go on, and the ledger says what it is.
+            self.refused_disk = str(fault)
+            self.counts["ledger_other_disk"] += 1
+            self.write_log("ledger_refused", why=str(fault))
+            return
+        book, wall = self.book, self.wall()
+        for kept in found.periods.values():
+            self.agreements[kept.period] = Agreement(self.number, self.roster, kept)
+            if kept.statement:
+                book.stated.add(kept.period)
+        for origin, period, key, digest in found.about:
+            self._collection(self.about, origin, period).add(key, digest[:DIGEST])
+        for period, key, digest in found.heard:
+            self._collection(self.heard, ChainName.of_key(key)[0].number, period).add(key, digest[:DIGEST])
+        stated = max(book.stated, default="")
+        self.period = next_of(stated) if stated else period_of(wall)
+        if new:
+            self._put(book.alive(wall))
+        else:
+            self.write_log("ledger_restarted", chain=str(book.chain.name), row=book.chain.seq)
+            self._put(book.restarted(found.standing, LINGER, wall))
+        while self._early:
+            self._early.popleft()()
+
+    def _collection(self, where: dict[tuple[int, str], Collection], number: int, period: str) -> Collection:
+        found = where.get((number, period))
+        if found is None:
+            found = where[number, period] = Collection()
+        return found
+
+    # -- what the server tells --
+
+    def _event(self, work: Callable[[], None]) -> None:
+        if self.book is not None:
+            work()
+        elif not self.refused_disk and len(self._early) < MOST_EARLY:
+            self._early.append(work)
+        else:
+            self.counts["ledger_missed"] += 1
+
+    def answered(self, seen: Seen, answer: str) -> None:
+        """A dialogue got its answer."""
+        wall, now = self.wall(), self._now()
+
+        def work() -> None:
+            book = self._book()
+            if self._room():
+                self._put(book.answered(seen, answer, wall, now))
+
+        self._event(work)
+
+    def over(self, side: str, origin: int, dialogue: int, how: str) -> None:
+        """A dialogue that stood is over."""
+        what = (side, origin, dialogue, how, self.wall(), self._now())
+
+        def work() -> None:
+            # The end of a dialogue is not refused for want of room: it waits, else a crash would count the dialogue
+            # on to the last moment of life. There are never more of these than dialogues.
+            self._unsaid.append(what)
+            self._say_overs()
+
+        self._event(work)
+
+    def _say_overs(self) -> None:
+        book = self._book()
+        while self._unsaid and self.keeper.room(ROOM):
+            self._put(book.over(*self._unsaid.popleft()))
+
+    def witnessed(self, seen: Seen, how: str, stood: int) -> None:
+        """The own office told of a dialogue that ended in this exchange."""
+        wall = self.wall()
+
+        def work() -> None:
+            book = self._book()
+            if self._room():
+                self._put(book.witnessed(seen, how, stood, wall))
+
+        self._event(work)
+
+    def correct(self, origin: int, dialogue: int, change: int, who: str, why: str) -> str:
+        """A correction by staff; returns what is wrong with it, or nothing."""
+        if self.book is None:
+            return "the ledger is not open"
+        if origin != self.number:
+            return f"dialogue {origin}/{dialogue} is call server {origin}'s to correct"
+        if not who or not why or max(len(who), len(why)) > 200:
+            return "who and why: a text each, 200 characters at most"
+        self._put(self.book.add(Corrected(origin, dialogue, change, who, why, self.wall()), self.wall()))
+        return ""
+
+    def _book(self) -> Book:
+        assert self.book is not None
+        return self.book
+
+    def _room(self) -> bool:
+        """Whether there is room for an event; what there was none for is said as soon as there is."""
+        if not self.keeper.room(ROOM):
+            self.keeper.refuse()
+            self.counts["ledger_refused"] += 1
+            return False
+        refused = self.keeper.refused()
+        if refused.count:
+            wall = self.wall()
+            first, last = (self.wall_at(at) for at in (refused.first, refused.last))
+            self._put(self._book().lacking(refused.count, first, last, wall))
+        return True
+
+    def _put(self, changes: list[Change], safe: Callable[[], None] | None = None) -> None:
+        for change in changes:
+            if change.shelf == ABOUT and change.body is not None:
+                origin, key = int.from_bytes(change.key[:4], "big"), change.key[4:]
+                self._collection(self.about, origin, change.body[:7].decode()).add(
+                    key, change.body[7 : 7 + DIGEST]
+                )
+        self.keeper.put(changes, safe)
+
+    # -- time --
+
+    def _ticked(self) -> None:
+        if self._closed:
+            return
+        self._tick = self.loop.call_later(ALIVE_EVERY / 1e6, self._ticked)
+        if self.book is None:
+            return
+        wall, now = self.wall(), self._now()
+        if self.keeper.room(ROOM):
+            self._say_overs()
+            self._room()
+            self._put(self.book.alive(wall))
+        while self.period and end_of(self.period) + periods.MARGIN <= wall:
+            self.state(self.period)
+        if now - self._again >= periods.AGAIN:
+            self._again = now
+            for one in self.agreements.values():
+                self._do(one, one.again(wall))
+        self._pull(now)
+
+    def state(self, period: str) -> None:
+        """Say that this instance has no more for a period: at its end, or early by staff."""
+        book = self._book()
+        one = self.agreements.get(period)
+        if one is None:
+            one = self.agreements[period] = Agreement(self.number, self.roster, Kept(period))
+        if one.kept.statement is None:
+            self._do(one, one.state_mine(book.statement(period)))
+            self.write_log("ledger_period_stated", period=period, rows=book.chain.seq)
+        if period >= self.period:
+            self.period = next_of(period)
+
+    def _do(self, one: Agreement, out: Outcome) -> None:
+        """Keep first, then say."""
+        sends = out.send
+
+        def say() -> None:
+            for to, message in sends:
+                self._send(to, message)
+
+        if out.keep:
+            key = one.kept.period.encode()
+            self._put([Change(PERIOD, key, msgspec.msgpack.encode(one.kept))], say)
+        else:
+            say()
+        if out.keep and one.state == "closed" and one.kept.period not in self.told_closed:
+            self.told_closed.add(one.kept.period)
+            self.write_log(
+                "ledger_period_closed", period=one.kept.period, instances=len(one.kept.closed or ())
+            )
+
+    # -- other instances --
+
+    def _send(self, to: int, message: Message) -> bool:
+        data = msgspec.msgpack.encode(message)
+        self.counts["ledger_bytes_sent"] += len(data)
+        return self.send_bytes(to, data)
+
+    def heard_from(self, sender: int, data: bytes) -> None:
+        """Bytes of another instance's. What is no message is skipped and counted."""
+        if self.book is None:
+            return
+        try:
+            message = MESSAGE.decode(data)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            self.counts["ledger_strange_message"] += 1
+            return
+        if isinstance(message, reconcile.Look):
+            self._looked(sender, message)
+        elif isinstance(message, reconcile.Fetch):
+            self._fetched(sender, message)
+        elif isinstance(message, reconcile.Differ):
+            pull = self.pulls.get((sender, message.topic))
+            if pull:
+                pull.heard(message)
+                self._ask(sender, pull)
+        elif isinstance(message, reconcile.Rows):
+            self._took(sender, message)
+        else:
+            self._agree(sender, message)
+
+    def _agree(self, sender: int, message: periods.Message) -> None:
+        try:
+            end_of(message.period)
+        except ValueError:
+            self.counts["ledger_strange_message"] += 1
+            return
+        one = self.agreements.get(message.period)
+        if one is None:
+            # Another's clock is ahead: its word is kept, this instance states when its own clock says so.
+            one = self.agreements[message.period] = Agreement(self.number, self.roster, Kept(message.period))
+        self._do(one, one.heard(sender, message))
+        if one.kept.closed is not None and one.kept.statement is None:
+            # Closed without this instance: it says no more for that period, what it adds is late.
+            self.state(message.period)
+
+    def _looked(self, sender: int, look: reconcile.Look) -> None:
+        told = reconcile.answer(self._collection(self.about, sender, look.topic), look)
+        if self.allowance.may(len(msgspec.msgpack.encode(told)), self._now()):
+            self._send(sender, told)
+        else:
+            self.counts["ledger_held_back"] += 1
+
+    def _fetched(self, sender: int, fetch: reconcile.Fetch) -> None:
+        own = self.about.get((sender, fetch.topic))
+        keys = [key for key in fetch.keys[: reconcile.MOST_FETCHED] if own and own.get(key) is not None]
+        if not self.allowance.may(300 * len(keys), self._now()):
+            self.counts["ledger_held_back"] += 1
+            return
+
+        def work(engine: Engine) -> list[tuple[bytes, bytes]]:
+            out = []
+            for key in keys:
+                try:
+                    found = engine.get(CHAIN, key)
+                except Damaged:
+                    continue
+                if found:
+                    out.append((key, found[1]))
+            return out
+
+        def done(found: Any) -> None:
+            if isinstance(found, list) and found:
+                self._send(sender, reconcile.Rows(fetch.topic, tuple(found)))
+
+        self.keeper.read(work, done)
+
+    def _took(self, sender: int, message: reconcile.Rows) -> None:
+        pull = self.pulls.get((sender, message.topic))
+        if pull is None:
+            return
+        for key, data in message.rows:
+            row = self._row_of(sender, key, data)
+            if row and self.keeper.room(ROOM) and pull.took(key, row.hash(ChainName.of_key(key)[0])[:DIGEST]):
+                self.counts["ledger_rows_heard"] += 1
+                self._put([Change(HEARD, key, data)])
+        self._ask(sender, pull)
+
+    def _row_of(self, sender: int, key: bytes, data: bytes) -> Row | None:
+        """A row, where it is one of that instance's own."""
+        try:
+            name, seq = ChainName.of_key(key)
+            row = read_row(data)
+        except BadEntry:
+            name, row, seq = ChainName(-1, 0), None, 0
+        if row is None or name.number != sender or row.seq != seq:
+            self.counts["ledger_strange_message"] += 1
+            return None
+        return row
+
+    def _pull(self, now: int) -> None:
+        """Go on with pulls, and begin those that are due: the open period and those not closed yet."""
+        wanted = {self.period, *(name for name, one in self.agreements.items() if self._needs(name, one))}
+        for other in self.roster:
+            if other == self.number:
+                continue
+            for period in sorted(wanted):
+                key = (other, period)
+                pull = self.pulls.get(key)
+                if pull is None and now - self.pulled.get(key, -PULL_EVERY) >= PULL_EVERY:
+                    pull = self.pulls[key] = Pull(period, self._collection(self.heard, other, period))
+                if pull is not None:
+                    self._ask(other, pull)
+
+    def _needs(self, period: str, one: Agreement) -> bool:
+        """Whether evidence of a period may still be lacking."""
+        content = one.kept.closed
+        if content is None:
+            return True
+        return any(
+            (other.number, period) not in self.level for other in content if other.number != self.number
+        )
+
+    def _ask(self, other: int, pull: Pull) -> None:
+        now = self._now()
+        for message in pull.next(now):
+            if not self.allowance.may(len(msgspec.msgpack.encode(message)), now):
+                self.counts["ledger_held_back"] += 1
+                continue  # asked again after a while, like one that was lost
+            self._send(other, message)
+        if pull.done:
+            key = (other, pull.topic)
+            del self.pulls[key]
+            self.pulled[key] = now
+            self.counts["ledger_pulls"] += 1
+            if pull.strange:
+                self.counts["ledger_strange_rows"] += len(pull.strange)
+                self.write_log("ledger_rows_differ", instance=other, rows=len(pull.strange))
+            one = self.agreements.get(pull.topic)
+            if one and (other in one.said or one.kept.closed is not None):
+                self.level.add(key)
+
+    # -- what is shown --
+
+    def status(self) -> dict[str, Any]:
+        """State as it is."""
+        condition = self.keeper.condition()
+        return {
+            "state": self.refused_disk or condition.state,
+            "changes_at_risk": condition.changes_at_risk,
+            "us_at_risk": condition.us_at_risk,
+            "chain": str(self.book.chain.name) if self.book else "",
+            "row": self.book.chain.seq if self.book else 0,
+            "standing": len(self.book.standing) if self.book else 0,
+            "period": self.period,
+            "periods": {name: one.state for name, one in sorted(self.agreements.items())},
+            "level_with": len(self.level),
+            "counts": dict(sorted((self.counts + self.keeper.counts).items())),
+        }
+
+    def asked(self, what: str) -> str:
+        """An operator's word: see `Daemon.ledger_asked`. Raises ValueError."""
+        words = shlex.split(what)
+        if not words:
+            return msgspec.json.format(msgspec.json.encode(self.status()), indent=2).decode()
+        if self.book is None:
+            raise ValueError(self.refused_disk or f"the store is not open: {self.keeper.condition().state}")
+        match words:
+            case ["close", period]:
+                if end_of(period) <= 0 or period > self.period:
+                    raise ValueError(f"period {period}: the open one is {self.period}")
+                self.state(period)
+                return f"{period} is stated; it is closed when a majority agrees: {self.agreements[period].state}"
+            case ["correct", dialogue, change, who, why]:
+                origin, _, number = dialogue.partition("/")
+                if not (origin.isdigit() and number.isdigit()) or not change.lstrip("-").isdigit():
+                    raise ValueError(f"correct {dialogue} {change}: ORIGIN/DIALOGUE and whole microseconds")
+                wrong = self.correct(int(origin), int(number), int(change), who, why)
+                if wrong:
+                    raise ValueError(wrong)
+                return f"{dialogue} is corrected by {change} us in what is exported next"
+            case ["snapshot", name]:
+                if "/" in name or name.startswith((".", STORE)):
+                    raise ValueError(f"snapshot {name!r}: a name in the ledger's folder")
+                self.keeper.snapshot(
+                    name, lambda why: self.write_log("ledger_snapshot", name=name, failed=why)
+                )
+                return f"{name} is being made; the log says when it is whole"
+        raise ValueError(f"{words[0][:20]!r}: close PERIOD, correct DIALOGUE US WHO WHY, or snapshot NAME")
+
+    def close(self, closed: Callable[[], None] | None = None) -> None:
+        """End what stands, for its links go with the process, write what waits and close the store."""
+        if self.book is not None:
+            for held, _ in list(self.book.standing.values()):
+                self.over(held.side, held.origin, held.dialogue, "cut")
+            self._put(self.book.alive(self.wall()))
+        self._halt()
+        self.keeper.close(closed)
+
+    def kill(self) -> None:
+        """Stop as a killed process does."""
+        self._halt()
+        self.keeper.kill()
+
+    def _halt(self) -> None:
+        self._closed = True
+        if self._tick:
+            self._tick.cancel()
--- /dev/null
+++ b/wellhitch/ledger/settle.py
@@ -0,0 +1,131 @@
+"""One figure a dialogue from what all ends saw: a written rule that gives the same at each end, in whatever order the
+entries come and however often. Pure.
+
+What is known of a dialogue is a set of entries; joining two sets is their union, so that order and repetition cannot
+matter, and the figure is a function of the set alone:
+
+1. What is billed belongs to the origin's tenant and use case; without the origin's word nothing is billed (`orphan`).
+2. Where the origin's answer is not `stands`, nothing is billed: the caller was never told that it stands.
+3. A dialogue that stood and is not over is `open` and billed later.
+4. Else the least that any end present saw it stand is billed. An end that answered it otherwise saw it stand for
+   nothing; an end of which no entry came counts for nothing, neither for the tenant nor against.
+5. Where several entries of one end differ (an instance that came back with an old disk), the least counts.
+6. Corrections by staff are added after that, each once; the whole is not under nought.
+
+The least is taken since a tenant pays for no microsecond that some end did not see. Ends that differ by more than
+`SLACK` are listed as a dispute, with the evidence."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wellhitch.ledger.entries import Answered, Corrected, Entry, Over
+
+SLACK = 2_000_000  # us that two ends' spans may differ without a word: a release that is sent, lost with its link and
+# taken for a cut is seen by the other end at its next heartbeat or set-up, within that
+
+Name = tuple[int, int]  # origin and dialogue
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """What is billed of a dialogue. `state`: `billed`, `not_billed`, `open`, `orphan`."""
+
+    name: Name
+    state: str
+    billed: int = 0
+    tenant: str = ""
+    use_case: str = ""
+    destination: int = -1
+    width: int = 1
+    ended: int = 0
+    tags: tuple[str, ...] = ()
+    dispute: str = ""
+    corrected: int = 0
+
+
+@dataclass(slots=True)
+class Views:
+    """All entries known of one dialogue. `add` is a union: order and repetition are of no matter."""
+
+    name: Name
+    answers: set[Answered] = field(default_factory=set)
+    overs: set[Over] = field(default_factory=set)
+    corrections: set[Corrected] = field(default_factory=set)
+
+    def add(self, entry: Entry) -> None:
+        """One more entry about this dialogue."""
+        if isinstance(entry, Answered):
+            self.answers.add(entry)
+        elif isinstance(entry, Over):
+            self.overs.add(entry)
+        elif isinstance(entry, Corrected):
+            self.corrections.add(entry)
+
+    def join(self, other: "Views") -> None:
+        """All that another end knows too."""
+        self.answers |= other.answers
+        self.overs |= other.overs
+        self.corrections |= other.corrections
+
+    def _stood(self, side: str) -> int | None:
+        """How long one side saw it stand: None where it said nothing, -1 where it stands still."""
+        answers = [one for one in self.answers if one.side == side]
+        overs = [one for one in self.overs if one.side == side]
+        if any(one.answer != "stands" for one in answers):
+            return 0
+        if overs:
+            return min(one.stood for one in overs)
+        return -1 if answers else None
+
+    def settled(self) -> Settled:
+        """What the rule says of what is known."""
+        # Two that differ: the lesser by all its fields, so that each end picks the same.
+        origin = min(
+            (one for one in self.answers if one.side == "origin"),
+            key=lambda one: (one.answer == "stands", one.at, one.tenant, one.use_case, one.tags, one.width),
+            default=None,
+        )
+        if origin is None:
+            return Settled(self.name, "orphan")
+        spans = {side: self._stood(side) for side in ("origin", "tandem", "destination")}
+        change = sum(one.change for one in self.corrections)
+        ended = min((one.at for one in self.overs if one.side == "origin"), default=origin.at)
+        billed, state, dispute = 0, "not_billed", ""
+        if origin.answer == "stands":
+            if spans["origin"] == -1:
+                return Settled(
+                    self.name, "open", 0, origin.tenant, origin.use_case, origin.destination, origin.width
+                )
+            # An end where it stands still has not seen its end: its span is no bound yet.
+            seen = {side: span for side, span in spans.items() if span is not None and span >= 0}
+            billed, state = min(seen.values()), "billed"
+            if max(seen.values()) - billed > SLACK:
+                dispute = ", ".join(f"{side} {span}" for side, span in sorted(seen.items()))
+        elif any(span for side, span in spans.items() if side != "origin"):
+            dispute = f"origin {origin.answer}, though another end saw it stand"
+        return Settled(
+            self.name,
+            state,
+            max(0, billed + change),
+            origin.tenant,
+            origin.use_case,
+            origin.destination,
+            origin.width,
+            ended,
+            origin.tags,
+            dispute,
+            change,
+        )
+
+
+def gather(entries: Iterable[Entry], into: dict[Name, Views] | None = None) -> dict[Name, Views]:
+    """Entries by the dialogue they speak of."""
+    out: dict[Name, Views] = {} if into is None else into
+    for entry in entries:
+        if isinstance(entry, (Answered, Over, Corrected)):
+            name = (entry.origin, entry.dialogue)
+            views = out.get(name)
+            if views is None:
+                views = out[name] = Views(name)
+            views.add(entry)
+    return out
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -13,6 +13,7 @@
 from wellhitch.hooks.keeping import dump, read
 from wellhitch.hooks.tree import BadHooks
 from wellhitch.interface import events as ev
+from wellhitch.ledger.desk import Desk
 from wellhitch.net.seam import Listener, Network, now_us
 from wellhitch.server.hooked import NO_CLOCK, Hooked, WallClock
 from wellhitch.server.metrics import exposition
@@ -31,6 +32,9 @@
     def __call__(self, event: str, **facts: Any) -> None: ...
 
 
+MakeDesk = Callable[[asyncio.AbstractEventLoop, Callable[[int, bytes], bool], Log], Desk]
+
+
 @dataclass(frozen=True, slots=True)
 class Doors:
     """Where a call server listens and whom it follows, as host:port; empty for none."""
@@ -58,6 +62,7 @@
         hooks: Mapping[str, str] | None = None,
         clock: WallClock = NO_CLOCK,
         reread: Callable[[], Mapping[str, str]] | None = None,
+        ledger: MakeDesk | None = None,
     ) -> None:
         self.loop, self.network, self.doors, self.write_log = loop, network, doors, log
         self.chance = random.Random(opened.seed ^ boot)
@@ -69,6 +74,8 @@
         self.guides = _Guides(self)
         self.offices: dict[str, _OfficeLink] = {}
         self.peer_links: dict[str, KeptLink] = {}
+        self.peer_numbers: dict[int, str] = {}
+        self.peers_here: dict[int, Port] = {}
         self.listeners: dict[str, Listener] = {}
         self.kept: list[KeptLink] = []
         self.ports: dict[Port, None] = {}
@@ -83,12 +90,16 @@
             self.switch.hooked = Hooked(made, self.switch.exchange, self.switch.number, clock)
         self.tells = opened.permissions.may_tell_peers and not opened.place.advised
         self.stopped = False
+        self.desk = ledger(loop, self.ledger_send, log) if ledger else None
+        self.switch.witness = self.desk
 
     def start(self) -> None:
         """Listen, follow the register, begin to decide."""
         self.write_log(
             "started", number=self.switch.number, boot=self.hello.boot, seed=self.switch.opened.seed
         )
+        if self.desk:
+            self.desk.start()
         self.switch.start(self.now())
         self._listen("callers", self.doors.callers, lambda: self._port(self.callers, ("caller",)))
         if self.doors.peers:
@@ -109,6 +120,9 @@
                     )
                 )
 
+    def ledger_closed(self) -> None:
+        """All of the ledger that waited is on disk."""
+
     def now(self) -> int:
         """The loop's time in us."""
         return now_us(self.loop)
@@ -149,6 +163,8 @@
     def kill(self) -> None:
         """Close everything at once, whatever is owed."""
         self.stopped = self.switch.stopping = True
+        if self.desk:
+            self.desk.close(self.ledger_closed)
         for listener in self.listeners.values():
             listener.close()
         for link in [
@@ -232,11 +248,13 @@
     # -- what the register names --
 
     def follow_peers(self, lines: list[frames.ListLine]) -> None:
-        """Keep a link to each peer that the list names, where words are told at all."""
-        if not self.tells:
+        """Keep a link to each peer that the list names, where words are told at all or a ledger is kept."""
+        if not self.tells and not self.desk:
             return
         for line in lines:
             address = line.peer
+            if address:
+                self.peer_numbers[line.number] = address
             if line.number != self.switch.number and address and address not in self.peer_links:
                 self.peer_links[address] = KeptLink(
                     self.loop,
@@ -248,6 +266,23 @@
                     self._fork(address),
                 )
 
+    def ledger_send(self, to: int, data: bytes) -> bool:
+        """Carry a message of the ledger's to another call server; False where no link stands. One that is lost is
+        asked for again."""
+        kept = self.peer_links.get(self.peer_numbers.get(to, ""))
+        port = (kept.port if kept else None) or self.peers_here.get(to)
+        return port.send(frames.Ledger(data)) if port else False
+
+    def ledger_asked(self, what: str) -> str:
+        """An operator's word about the ledger: `close PERIOD` states it early, `correct DIALOGUE US WHO WHY` (names and
+        reasons without blanks, or quoted), `snapshot NAME`; else how it is."""
+        if self.desk is None:
+            return "no ledger: the sheet names none"
+        try:
+            return self.desk.asked(what)
+        except ValueError as fault:
+            return f"not done: {fault}"
+
     def hooks_state(self) -> bytes:
         """What hooks remember, for a file."""
         hooked = self.switch.hooked
@@ -348,6 +383,7 @@
                 for number, g in sorted(switch.groups.items())
             },
             "counts": dict(sorted(switch.counts.items())),
+            **({"ledger": self.desk.status()} if self.desk else {}),
         }
 
 
@@ -391,6 +427,17 @@
         """A peer says something."""
         if isinstance(frame, frames.Word):
             self.daemon.switch.word(port.peer.number, frame.text, self.daemon.now())
+        elif isinstance(frame, frames.Ledger) and self.daemon.desk:
+            self.daemon.desk.heard_from(port.peer.number, frame.text)
+
+    def link_up(self, port: Port) -> None:
+        """A peer is there: either end may have opened the link."""
+        self.daemon.peers_here[port.peer.number] = port
+
+    def link_down(self, port: Port, why: str) -> None:
+        """It is gone."""
+        if port.link.peer and self.daemon.peers_here.get(port.peer.number) is port:
+            del self.daemon.peers_here[port.peer.number]
 
 
 class _Guides(_Part):
@@ -449,6 +496,8 @@
                 switch.group_told(self.office, frame, now)
             case frames.LoadReport():
                 switch.load_told(self.office, frame, now)
+            case frames.Carried():
+                switch.carried(self.office, frame)
             case frames.Heartbeat(held):
                 switch.counts_compared(self.office, held, now)
 
@@ -489,7 +538,9 @@
             said = exposition(self.daemon.switch)
         elif asked.split(" ")[0] == "hooks":
             said = self.daemon.hooks_asked(asked.partition(" ")[2]).encode() + b"\n"
+        elif asked.split(" ")[0] == "ledger":
+            said = self.daemon.ledger_asked(asked.partition(" ")[2]).encode() + b"\n"
         else:
-            said = f"unknown request {asked[:40]!r}: status, metrics or hooks\n".encode()
+            said = f"unknown request {asked[:40]!r}: status, metrics, hooks or ledger\n".encode()
         self.transport.write(said)
         self.transport.close()
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -16,6 +16,7 @@
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
 from wellhitch.interface.state import Dialogue, Exchange
+from wellhitch.ledger.book import Seen
 from wellhitch.rules import decide
 from wellhitch.server.dials import (
     ENDINGS,
@@ -80,6 +81,19 @@
         """One line of the log."""
 
 
+class Witness(Protocol):
+    """What a ledger is told; nothing comes back, and nothing waits for it."""
+
+    def answered(self, seen: Seen, answer: str) -> None:
+        """A dialogue got its answer."""
+
+    def over(self, side: str, origin: int, dialogue: int, how: str) -> None:
+        """A dialogue that stood is over, `released` or `cut`."""
+
+    def witnessed(self, seen: Seen, how: str, stood: int) -> None:
+        """The own office told of one that ended in this exchange."""
+
+
 class Switch:
     """One exchange's call server."""
 
@@ -96,6 +110,7 @@
         self.revision = -1
         self.stopping = False
         self.hooked: Hooked | None = None
+        self.witness: Witness | None = None
         self.life = (
             0  # set at each start: what an earlier process called its dialogues must not be called so again
         )
@@ -283,12 +298,14 @@
         stood, dial = taken.stands, taken.active
         taken.owed = False
         if dial and stood:
+            self._told_over(taken, "released")
             if dial.home.up:
                 self.outlet.to_office(dial.home.id, frames.Pass(0, "release"))
             self._end_dial(dial, frames.Release(dial.ref), now)
             self._forget(taken)
             self._dial_ended(dial, ev.Ending.ENDED_WELL, ev.Blame.NONE, 0, True, None, now)
             return
+        self._told_answer(taken, "gone")
         self._forget(taken)
         self._feed(ev.WentAway(taken.id), now)
         if dial:
@@ -321,12 +338,49 @@
             else:
                 reason = turned_back_reason(taken)
                 self.outlet.to_office(taken.home.id, frames.PushBack(taken.home_ref, reason))
+        self._told_answer(taken, answer)
         if answer != "stands":
             dial = taken.active
             if dial:  # given up while a dial is out: only after a fault in the decisions
                 self._end_dial(dial, frames.Cancel(dial.ref), now)
             self._forget(taken)
 
+    def _told_answer(self, taken: Taken, answer: str) -> None:
+        if self.witness:
+            seen = Seen(
+                _side(taken),
+                taken.origin,
+                taken.origin_id,
+                taken.use_case,
+                taken.destination,
+                taken.called,
+                taken.width,
+                taken.tenant,
+                taken.tags,
+                taken.version,
+            )
+            self.witness.answered(seen, answer)
+
+    def _told_over(self, taken: Taken, how: str) -> None:
+        if self.witness:
+            self.witness.over(_side(taken), taken.origin, taken.origin_id, how)
+
+    def carried(self, office: str, frame: frames.Carried) -> None:
+        """The own office tells of a dialogue that stood in this exchange and is over."""
+        if self.offices[office].number != self.number or frame.how not in ("released", "cut"):
+            self.counts["strays.Carried"] += 1
+        elif self.witness and 0 <= frame.origin < 1 << 16 and 0 <= frame.stood < 1 << 53:
+            seen = Seen(
+                "destination",
+                frame.origin,
+                frame.dialogue,
+                frame.use_case,
+                self.number,
+                frame.called,
+                frame.width,
+            )
+            self.witness.witnessed(seen, frame.how, frame.stood)
+
     def _forget(self, taken: Taken) -> None:
         self.taken.pop(taken.id, None)
         if taken.link is not None:
@@ -548,6 +602,7 @@
             dial.timer = self.outlet.timer(self.opened.release.release_wait, lambda at: self._freed(dial, at))
         if stood:
             self.counts["cut"] += 1
+            self._told_over(taken, "cut")
             if taken.link is not None:
                 self.outlet.to_caller(taken.link, frames.Ended(taken.caller_id))
             elif taken.home is not None:
@@ -859,3 +914,8 @@
         "dials": [(dial.office.id, dial.sent, dial.took) for dial in dialogue.dials],
         "out": dialogue.out is not None,
     }
+
+
+def _side(taken: Taken) -> str:
+    """Where this call server stands in a dialogue."""
+    return "tandem" if taken.home is not None else "origin"
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -146,6 +146,7 @@
     register: RegisterLine = RegisterLine()
     centre: CentreLine | None = None
     hooks: dict[str, str] = {}
+    ledger: bool = False
     drift: DriftLine | None = None
     bursts: DriftLine | None = None
     shape: list[tuple[float, float]] = []
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -75,6 +75,16 @@
     centre: Address = ""
 
 
+class LedgerLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The ledger. `folder`: where it is kept, relative to the sheet's. `roster`: the numbers of all call servers that
+    keep one, which close its periods together. `number_keys`: a file of keys for called numbers,
+    `{"1": "64 hex digits"}`, the highest in use; empty: no called number is kept."""
+
+    folder: str
+    roster: list[Count]
+    number_keys: str = ""
+
+
 class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All of one call server. `hooks`: files of the hooks' language by name, their order by name the standing.
     `hooks_state`: a file for what they remember, relative to the sheet's; empty: it is lost with the process."""
@@ -88,11 +98,21 @@
     limits: LimitLine = LimitLine()
     hooks: dict[str, str] = {}
     hooks_state: str = ""
+    ledger: LedgerLine | None = None
 
 
 def check(sheet: Sheet, where: str) -> None:
     """What holds between fields. Raises Faults."""
     lines = use_case_faults(sheet.use_cases)
+    if sheet.ledger:
+        roster = sheet.ledger.roster
+        lines += [f"ledger.roster = {n}: named twice" for n in sorted(set(roster)) if roster.count(n) > 1]
+        if sheet.number not in roster:
+            lines.append(f"ledger.roster = {roster}: this call server, {sheet.number}, is not in it")
+        if not sheet.ledger.folder:
+            lines.append("ledger.folder = '': a folder")
+        if not sheet.doors.peers and len(roster) > 1:
+            lines.append("doors.peers = '': ledgers talk to each other there")
     for name in ("callers", "register", "peers", "operators", "centre"):
         address = getattr(sheet.doors, name)
         if not address:
--- a/wellhitch/stand_ins/office.py
+++ b/wellhitch/stand_ins/office.py
@@ -39,6 +39,7 @@
     came: int
     job: Job | None = None
     answered: bool = False
+    stands_since: int = 0
     counted_line: bool = False
     over: bool = False
     onward: int = 0  # ref on the home link, where in transit
@@ -186,6 +187,7 @@
         for leg in list(legs.values()):
             if leg.onward:
                 self._onward(frames.Cancel(leg.onward))
+            self._carried(leg, "cut")
             self._end(leg)
         if port.link.peer and port.peer.number == self.trunks.number:
             # What a call server held that is gone is held by nobody; its next one tells anew.
@@ -240,6 +242,7 @@
         self.counts["cut"] += 1
         if leg.onward:
             self._onward(frames.Release(leg.onward) if leg.answered else frames.Cancel(leg.onward))
+        self._carried(leg, "cut")
         self._end(leg)
         self._say(leg, frames.Cut(leg.setup.ref))
 
@@ -334,7 +337,7 @@
     def _answer(self, leg: Leg) -> None:
         if leg.over:
             return
-        leg.answered = True
+        leg.answered, leg.stands_since = True, self.now()
         self.counts["answered"] += 1
         if self.ills.garbage:
             self.ills.garbage = False
@@ -418,6 +421,8 @@
             self._onward(frames.Release(leg.onward) if stood else frames.Cancel(leg.onward))
         if leg.job and self.cancel_drops and not stood:
             self.processor.drop(leg.job)
+        if stood:
+            self._carried(leg, "released")
         self._end(leg)
         if self.ills.after_release:
             self._say(leg, frames.Answer(ref))
@@ -430,6 +435,16 @@
         if home:
             self._send(home, frame)
 
+    def _carried(self, leg: Leg, how: str) -> None:
+        """Tell the own call server, for its ledger, of a dialogue that stood here and is over."""
+        if not leg.over and leg.answered and not leg.onward:
+            setup, stood = leg.setup, self.now() - leg.stands_since
+            self._onward(
+                frames.Carried(
+                    setup.origin, setup.dialogue, setup.use_case, setup.called, setup.width, how, stood
+                )
+            )
+
     def _end(self, leg: Leg) -> None:
         """Free all that a set-up holds here."""
         if leg.over:
--- a/wellhitch/store/keeper.py
+++ b/wellhitch/store/keeper.py
@@ -65,7 +65,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._busy = self._closing = False
         self._open_trouble = ""
-        self._opened: list[Callable[[Engine], None]] = []
+        self._read_first: Callable[[Engine], Any] = lambda engine: None
+        self._ready: Callable[[Any], None] = lambda found: None
         self._said = "well"
         self._looking: asyncio.TimerHandle | None = None
 
@@ -75,10 +76,10 @@
 
     # -- opening --
 
-    def open(self, opened: Callable[[Engine], None]) -> None:
-        """Open the file; `opened` runs on the disk, to read what is there, before anything else is asked of it. Where
-        it cannot be opened, that is logged and tried again; changes wait meanwhile as for a failing disk."""
-        self._opened.append(opened)
+    def open(self, read: Callable[[Engine], Any], ready: Callable[[Any], None]) -> None:
+        """Open the file; `read` runs on the disk and reads what is there, `ready` gets that on the loop. Where it
+        cannot be opened, that is logged and tried again; changes wait meanwhile as for a failing disk."""
+        self._read_first, self._ready = read, ready
         self._try_open()
         self._looking = self.loop.call_later(UPKEEP_EVERY, self._look)
 
@@ -86,15 +87,13 @@
         if self._closing:
             return
 
-        def work() -> Engine:
+        def work() -> tuple[Engine, Any]:
             engine = self.disk.open(self.name)
             try:
-                for one in self._opened:
-                    one(engine)
+                return engine, self._read_first(engine)
             except StoreFault:
                 engine.close()
                 raise
-            return engine
 
         self._run(work, self._is_open)
 
@@ -105,8 +104,9 @@
             self.write_log("store_not_opened", name=self.name, trouble=found.trouble, why=str(found))
             self.loop.call_later(OPEN_AGAIN / 1e6, self._try_open)
             return
-        self.engine, self._open_trouble = found, ""
+        self.engine, self._open_trouble = found[0], ""
         self.write_log("store_opened", name=self.name)
+        self._ready(found[1])
         self._arm()
 
     # -- writing --
@@ -115,7 +115,7 @@
         """Take changes; False, and none is taken, where there is no room. `safe` is called on the loop once all are
         on disk."""
         now = self.now()
-        if self.writer.held + len(changes) > self.writer.most_waiting:
+        if not self.room(len(changes)):
             # All or none: half of what belongs together is worth nothing.
             for _ in changes:
                 self.writer.refuse(now)
@@ -128,6 +128,14 @@
         self._arm()
         return True
 
+    def room(self, changes: int) -> bool:
+        """Whether so many changes would be taken now."""
+        return self.writer.held + changes <= self.writer.most_waiting
+
+    def refuse(self) -> None:
+        """Count something that found no room."""
+        self.writer.refuse(self.now())
+
     def refused(self) -> Refused:
         """As `Writer.take_refused`."""
         return self.writer.take_refused()
--- a/wellhitch/trunk/frames.py
+++ b/wellhitch/trunk/frames.py
@@ -185,6 +185,25 @@
     asked: bool = True
 
 
+class Carried(Frame, frozen=True):
+    """Office to its own call server, for the ledger: a dialogue that stood in this exchange is over, `released` or
+    `cut`, after `stood`."""
+
+    origin: int
+    dialogue: int
+    use_case: str
+    called: str | None
+    width: int
+    how: str
+    stood: int
+
+
+class Ledger(Frame, frozen=True):
+    """Between call servers: a message of their ledgers, which alone read it. It may be lost."""
+
+    text: bytes
+
+
 class Word(Frame, frozen=True):
     """Between call servers: a short message of the decisions."""
 
@@ -219,7 +238,8 @@
 
 Any = (
     Hello | Heartbeat | Mark | Marked | Fault | Call | Final | Leave | Ended | Setup | Pass | Passed | Drop | Answer
-    | PushBack | Cancel | Release | Released | Cut | GroupState | Probe | LoadReport | Word | List | Advice
+    | PushBack | Cancel | Release | Released | Cut | GroupState | Probe | LoadReport | Word | List | Advice | Carried
+    | Ledger
 )  # fmt: skip
 
 REASONS = (
