--- /dev/null
+++ b/tests/test_ledger_service.py
@@ -0,0 +1,408 @@
+"""The ledger in service: books beside what stood, exports cut anywhere, tariffs to the cent."""
+
+import random
+from collections import Counter
+from itertools import pairwise
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import day, trouble
+
+from wellhitch.emulator.disk import EmulatedDisk, PowerCut
+from wellhitch.emulator.loop import VirtualLoop
+from wellhitch.lab import ledger_day
+from wellhitch.ledger import export
+from wellhitch.ledger.book import Seen
+from wellhitch.ledger.chain import ChainName, read_row
+from wellhitch.ledger.desk import Desk
+from wellhitch.ledger.entries import Lacking, NumberKeys, Over, Restarted, decode
+from wellhitch.ledger.export import (
+    AGAIN,
+    START,
+    BadFile,
+    Line,
+    Sender,
+    Sent,
+    lines_of,
+    make_file,
+    make_receipt,
+    read_file,
+    read_receipt,
+)
+from wellhitch.ledger.periods import MARGIN, end_of
+from wellhitch.ledger.rating import (
+    CENT,
+    NoPrice,
+    Price,
+    Tariff,
+    faults_of,
+    invoice,
+    price_of,
+    rated,
+    to_cents,
+)
+from wellhitch.ledger.settle import Settled
+from wellhitch.stand_ins.accounting import Accounting, Ills
+from wellhitch.store.engine import StoreFault
+
+SECOND = 1_000_000
+DECEMBER = end_of("2026-11")
+KEY = b"k" * 32
+
+# ---- whole days: totals are what stood by the captures ----
+
+TENANTS = {"tenants": ["north", "south", "east"]}
+ALL_ILLS = Ills(loses_answer=0.3, answers_twice=0.3, wrong_file=0.3, takes_half=0.3)
+
+
+def books(ills: Ills, troubles: list[dict[str, Any]], **more: Any) -> ledger_day.Books:
+    made = day(ledger=True, callers=TENANTS, length="8s", rate=6.0, troubles=troubles)
+    return ledger_day.play(made, ills, **more)
+
+
+def whole(found: ledger_day.Books, killed_us: int = 0) -> None:
+    assert not found.verdict.breaks and not found.wrong
+    assert ledger_day.differences(found, killed_us) == [] and len(found.booked) > 80
+    assert set(found.exported.values()) == {"2027-01"}
+    # Nothing is booked by two lines unless the second is a correction that the figures bear out.
+    assert all(one.billed >= 0 for one in found.booked.values())
+
+
+def test_a_day_over_a_months_end_is_booked_as_it_stood() -> None:
+    found = books(Ills(), [])
+    whole(found)
+    assert {one.tenant for one in found.booked.values()} == set(TENANTS["tenants"])
+    # The month's end fell into the day: some are booked in each of the two files of each call server.
+    assert found.accounting["booked"] == 6
+
+
+def test_killed_call_servers_and_an_accounting_side_that_does_all_wrong() -> None:
+    killed = [trouble("server_killed", "2s", "1s", on=[1]), trouble("server_killed", "5s", "2s", on=[2])]
+    found = books(ALL_ILLS, killed)
+    whole(found, killed_us=SECOND)
+    assert found.accounting["took_half"] and found.accounting["lost_answer"]
+
+
+def test_machines_that_lose_power_lose_no_more_than_is_said() -> None:
+    killed = [trouble("server_killed", "3s", "1s", on=[0, 1, 2])]
+    found = books(ALL_ILLS, killed, power_cuts=lambda number: True)
+    assert not found.verdict.breaks and not found.wrong
+    lost = [one for one in ledger_day.differences(found, SECOND) if "is not booked" not in one]
+    assert lost == []
+    # What stood less than the linger before the cut may be missing: 18 dialogues a second, 20 ms.
+    assert len(found.booked) >= len(found.stood) - 4
+
+
+def test_clocks_minutes_apart_and_links_that_lose_all_close_the_same_period() -> None:
+    found = books(Ills(), [trouble("link_cut", "3s", "1s")], clocks={1: 240.0, 2: 30.0}, after_s=400.0)
+    whole(found)
+
+
+def test_the_comparison_tells_a_booking_that_is_wrong_missing_or_made_up() -> None:
+    found = books(Ills(), [])
+    name, other, third, *_ = sorted(found.booked)
+    was = found.booked.pop(name)
+    found.booked[0, 1] = was
+    found.booked[other] = ledger_day.Booked(
+        found.booked[other].tenant, "", found.booked[other].billed + SECOND, 1
+    )
+    found.booked[third] = ledger_day.Booked("nobody", "", found.booked[third].billed, 1)
+    assert len(ledger_day.differences(found)) == 4
+
+
+# ---- the desk ----
+
+
+class OneDesk:
+    def __init__(
+        self, disk: EmulatedDisk | None = None, number: int = 3, roster: tuple[int, ...] = (3,)
+    ) -> None:
+        self.loop = VirtualLoop()
+        self.disk = disk or EmulatedDisk(1)
+        self.disk.loop = self.loop
+        self.words: list[str] = []
+        self.ahead = 0
+        self.desk = Desk(
+            self.loop,
+            self.disk,
+            number,
+            roster,
+            NumberKeys({}),
+            lambda now: DECEMBER + now + self.ahead,
+            lambda to, data: False,
+            lambda event, **facts: self.words.append(event),
+            random.Random(1),
+        )
+        self.desk.start()
+        self.loop.advance(0.1)
+
+    def stands(self, dialogue: int) -> None:
+        self.desk.answered(Seen("origin", 3, dialogue, "card-lock", 5, "0800"), "stands")
+
+    def entries(self) -> list[Any]:
+        engine = self.disk.after_kill().open("ledger")
+        out = [decode(read_row(one[2]).entry) for one in engine.scan("chain") if isinstance(one, tuple)]
+        engine.close()
+        return out
+
+
+def test_a_full_disk_makes_a_gap_that_is_said_and_ends_are_never_refused() -> None:
+    one = OneDesk()
+    one.desk.keeper.writer.most_waiting = 60
+    one.stands(1)
+    one.loop.advance(0.5)
+    one.disk.full = True
+    for n in range(2, 60):
+        one.stands(n)
+    one.desk.over("origin", 3, 1, "released")
+    one.loop.advance(3)
+    one.disk.full = False
+    one.loop.advance(8)
+    said = one.entries()
+    gaps = [entry for entry in said if isinstance(entry, Lacking)]
+    assert len(gaps) == 1 and gaps[0].count > 10 and one.desk.status()["state"] == "well"
+    assert [entry for entry in said if isinstance(entry, Over)][0].stood == 500_000
+
+
+def test_another_instances_disk_is_refused_and_calls_go_on() -> None:
+    first = OneDesk()
+    first.stands(1)
+    first.loop.advance(1)
+    other = OneDesk(first.disk.after_kill(), number=4, roster=(4,))
+    other.stands(2)
+    assert "ledger_refused" in other.words and "call server 3, not 4" in other.desk.status()["state"]
+    assert [entry for entry in other.entries() if isinstance(entry, Restarted)] == []
+
+
+def test_the_same_call_server_started_twice_on_one_disk_keeps_one_chain() -> None:
+    first = OneDesk()
+    second = Desk(
+        first.loop, first.disk, 3, (3,), NumberKeys({}), lambda now: DECEMBER + now, lambda to, data: False,
+        lambda event, **facts: first.words.append(event), random.Random(2),
+    )  # fmt: skip
+    second.start()
+    first.loop.advance(1)
+    assert second.status()["state"] == "in_use" and first.desk.status()["state"] == "well"
+
+
+def test_a_restart_on_a_disk_whose_month_has_ended_still_states_that_month() -> None:
+    first = OneDesk()
+    first.stands(1)
+    first.loop.advance(2)
+    again = OneDesk(first.disk.after_kill())
+    again.ahead = end_of("2026-12") - DECEMBER + MARGIN
+    again.loop.advance(12)
+    assert again.desk.agreements["2026-12"].state == "closed"  # alone on the roster, it is a majority
+
+
+def test_power_cut_at_every_write_of_a_desks_life_keeps_the_chain_whole() -> None:
+    def lived(cut_at: int | None) -> tuple[EmulatedDisk, int]:
+        disk = EmulatedDisk(1)
+        disk.cut_at = cut_at
+        one = OneDesk(disk)
+        for n in range(6):
+            one.stands(n)
+            one.loop.advance(0.3)
+            if n > 1:
+                one.desk.over("origin", 3, n - 2, "released")
+        return disk, disk.ops
+
+    _, ops = lived(None)
+    assert ops > 60
+    for at in range(0, ops, 2):
+        disk, _ = lived(at)
+        next_life = disk.after_power_cut(at, (at % 5) / 4)
+        one = OneDesk(next_life)
+        one.loop.advance(0.5)
+        assert ledger_day.verified(next_life) == []
+        said = one.entries()
+        # Whatever stood and is not over was ended by the restart, and nothing was ended twice.
+        overs = Counter(entry.dialogue for entry in said if isinstance(entry, Over))
+        stood = {entry.dialogue for entry in said if getattr(entry, "answer", "") == "stands"}
+        assert set(overs) == stood and set(overs.values()) <= {1}
+
+
+def test_operators_words_are_checked() -> None:
+    one = OneDesk()
+    assert "whole microseconds" in _refused(one, "correct 3/1 x ana reason")
+    assert "call server 4's to correct" in _refused(one, "correct 4/1 5 ana reason")
+    assert "such as 2026-12" in _refused(one, "close 2026-13x")
+    assert "the open one is 2026-12" in _refused(one, "close 2030-01")
+    assert "a name in the ledger's folder" in _refused(one, "snapshot ../x")
+    assert "close PERIOD" in _refused(one, "open")
+    assert "corrected by -5 us" in one.desk.asked("correct 3/1 -5 ana 'wrong number'")
+
+
+def _refused(one: OneDesk, what: str) -> str:
+    with pytest.raises(ValueError) as fault:
+        one.desk.asked(what)
+    return str(fault.value)
+
+
+# ---- export: cut at every byte, answered in every wrong way ----
+
+
+def settled(dialogue: int, billed: int = 5 * SECOND, state: str = "billed", **more: Any) -> Settled:
+    plain = {"tenant": "north", "use_case": "card-lock", "destination": 5, "ended": DECEMBER}
+    return Settled((3, dialogue), state, billed, **{**plain, **more})
+
+
+def a_file(sequence: int = 1, before: bytes = START, lines: int = 3) -> bytes:
+    made = lines_of("2026-12", [settled(sequence * 100 + n) for n in range(lines)], {})
+    return make_file(KEY, 3, sequence, "2026-12", made, before)
+
+
+def accounting(disk: EmulatedDisk, ills: Ills | None = None, seed: int = 1) -> Accounting:
+    return Accounting(disk.open("books"), {3: KEY}, ills or Ills(), random.Random(seed))
+
+
+def test_a_file_cut_at_each_byte_is_refused_and_booked_once_when_whole() -> None:
+    side, data = accounting(EmulatedDisk(1)), a_file()
+    for cut in range(len(data)):
+        assert side.hand_over(3, data[:cut]) == []
+        with pytest.raises(BadFile):
+            read_file(KEY, data[:cut])
+    first = side.hand_over(3, data)
+    assert side.hand_over(3, data) == first  # again: the same receipt, not booked again
+    assert {one.lines for one in side.booked().values()} == {1} and len(side.booked()) == 3
+
+
+def test_a_receipt_cut_at_each_byte_or_of_another_file_ends_nothing() -> None:
+    data = a_file()
+    receipt = make_receipt(KEY, read_file(KEY, data))
+    sender = Sender(KEY, 3, Sent(1), {1: data})
+    other = make_file(KEY, 3, 1, "2026-12", [], START)
+    for wrong in (
+        *(receipt[:cut] for cut in range(len(receipt))),
+        make_receipt(b"x" * 32, read_file(KEY, data)),
+        make_receipt(KEY, read_file(KEY, other)),
+        make_receipt(KEY, read_file(KEY, a_file(2))),
+    ):
+        assert sender.heard(wrong) is None and sender.files and sender.wrong
+    assert sender.heard(receipt) == 1 and not sender.files and sender.heard(receipt) is None
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_are_a_file_a_receipt_or_a_named_error(data: bytes) -> None:
+    for read in (read_file, read_receipt):
+        with pytest.raises(BadFile):
+            read(KEY, data)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_each_line_is_booked_once_whatever_either_side_does(seed: int) -> None:
+    """Files handed over in turn, with both sides dying at random moments: the accounting side loses power, the sender
+    begins again from what it kept."""
+    chance = random.Random(seed)
+    disk = EmulatedDisk(seed)
+    files, before = {}, START
+    for sequence in range(1, 6):
+        files[sequence] = a_file(sequence, before)
+        before = read_file(KEY, files[sequence]).mac
+    sender, now = Sender(KEY, 3, Sent(5), dict(files)), 0
+    side = accounting(disk, ALL_ILLS, seed)
+    deaths = 0
+    while sender.files:
+        now += AGAIN
+        data = sender.next(now)
+        if data is None:
+            continue
+        if chance.random() < 0.7:
+            disk.cut_at = disk.ops + chance.randrange(8)
+        back: list[bytes] = []
+        try:
+            back = side.hand_over(3, data)
+        except (PowerCut, StoreFault):
+            assert disk.dead
+        if disk.dead:
+            deaths += 1
+            disk = disk.after_power_cut(chance.randrange(1000), chance.random())
+            side = accounting(disk, ALL_ILLS, chance.randrange(1000))
+            back = []
+        for receipt in back:
+            sender.heard(receipt)
+        if chance.random() < 0.3:
+            # The sender dies: the receipt it had heard may not be on its disk.
+            left = {
+                n: one for n, one in files.items() if n >= min(sender.files, default=6) - chance.randrange(2)
+            }
+            sender = Sender(KEY, 3, Sent(5), left)
+    assert deaths and all(one.lines == 1 and one.billed == 5 * SECOND for one in side.booked().values())
+    assert len(side.booked()) == 15
+
+
+def test_a_file_out_of_turn_or_that_does_not_follow_is_refused() -> None:
+    side = accounting(EmulatedDisk(1))
+    assert side.hand_over(3, a_file(2)) == []
+    side.hand_over(3, a_file(1))
+    assert side.hand_over(3, a_file(2, before=b"x" * 32)) == [] and len(side.booked()) == 3
+
+
+def test_late_evidence_is_a_correction_in_the_next_file_and_never_a_silent_change() -> None:
+    before = {(3, 1): export.Exported(5 * SECOND, "2026-12"), (3, 2): export.Exported(SECOND, "2026-12")}
+    lines = lines_of(
+        "2027-01", [settled(1, 3 * SECOND), settled(2, SECOND), settled(3), settled(4, state="open")], before
+    )
+    assert [(one.dialogue, one.billed, one.change, one.corrects) for one in lines] == [
+        (1, 3 * SECOND, -2 * SECOND, "2026-12"),
+        (3, 5 * SECOND, 5 * SECOND, ""),
+    ]
+    assert lines_of("2027-01", [settled(1, 0, state="not_billed")], before)[0].change == -5 * SECOND
+    assert isinstance(lines[0], Line)
+
+
+# ---- rating ----
+
+TARIFF = Tariff(
+    "BRL",
+    [
+        Price("card-lock", "2026-01-01", set_up=100_000, a_minute=60_000, step_s=6),
+        Price("card-lock", "2026-12-10", set_up=200_000, a_minute=60_000),
+        Price("card-lock", "2026-01-01", set_up=0, a_minute=1, tenant="north"),
+    ],
+)
+
+
+def test_a_price_is_the_latest_begun_and_a_tenants_own_goes_before() -> None:
+    south = settled(1, 7 * SECOND, tenant="south")
+    assert rated(TARIFF, south) == 100_000 + 12_000  # two steps of six seconds at a thousand a second
+    assert (
+        rated(TARIFF, settled(1, 7 * SECOND, tenant="south", ended=DECEMBER + 10 * 86_400 * SECOND))
+        == 207_000
+    )
+    assert rated(TARIFF, settled(1, 7 * SECOND, tenant="south", width=3)) == 3 * 112_000
+    assert rated(TARIFF, settled(1, SECOND)) == 1  # a part of a micro is rounded up, once a dialogue
+    assert rated(TARIFF, settled(1, 0, tenant="south")) == 0
+    assert price_of(TARIFF, settled(1, ended=DECEMBER + 20 * 86_400 * SECOND)).tenant == "north"
+    with pytest.raises(NoPrice, match="no price for other on 2026-12-01"):
+        rated(TARIFF, settled(1, use_case="other"))
+
+
+@settings(max_examples=300)
+@given(st.dictionaries(st.text(max_size=3), st.integers(-(10**9), 10**9), max_size=30))
+def test_the_sum_of_the_lines_is_the_whole_to_the_cent(parts: dict[str, int]) -> None:
+    cents = to_cents(parts)
+    assert sum(cents.values()) == (sum(parts.values()) + CENT // 2) // CENT
+    # No line is off by a cent or more, and none passes one that had more.
+    assert all(abs(cents[name] * CENT - micros) < CENT for name, micros in parts.items())
+    order = sorted(parts, key=lambda name: (parts[name], cents[name]))
+    assert all(cents[a] <= cents[b] for a, b in pairwise(order))
+    assert to_cents(dict(reversed(parts.items()))) == cents
+
+
+def test_an_invoice_names_what_it_could_not_rate() -> None:
+    lines, unrated = invoice(
+        TARIFF, [settled(1), settled(2, tenant="south"), settled(3, use_case="x"), settled(4, state="open")]
+    )
+    assert [(one.tenant, one.dialogues) for one in lines] == [("north", 1), ("south", 1)]
+    assert unrated == ["dialogue 3/3: no price for x on 2026-12-01"]
+
+
+def test_what_is_wrong_with_a_tariff_is_told() -> None:
+    wrong = Tariff("BRL", [Price("a", "soon", -1, 0, 7), Price("a", "2026-01-01"), Price("a", "2026-01-01")])
+    told = " ".join(faults_of(wrong))
+    for what in ("prices[0].from_day = 'soon'", "set_up = -1", "step_s = 7", "prices[2]: a from"):
+        assert what in told
+    assert faults_of(TARIFF) == [] and ChainName(1, 2) < ChainName(1, 3)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -68,10 +68,10 @@
 def test_changes_go_in_groups_and_what_is_at_risk_is_told() -> None:
     writer = Writer()
     for n in range(5):
-        assert writer.put(change(n), n * 1000)
+        assert writer.put([change(n)], n * 1000)
     assert writer.due(4000) == LINGER - 4000 and writer.at_risk(4000) == (5, 4000)
     assert writer.begin(LINGER) == [change(n) for n in range(5)]
-    writer.put(change(9), LINGER)
+    writer.put([change(9)], LINGER)
     assert writer.due(LINGER) is None and writer.at_risk(LINGER) == (6, LINGER)
     assert writer.condition(LINGER + SLOW) == "well" and writer.condition(LINGER + SLOW + 1) == "slow"
     assert writer.committed(LINGER + 300) == 5 and writer.at_risk(LINGER + 300) == (1, 300)
@@ -79,11 +79,11 @@
 
 def test_a_failed_batch_comes_again_as_it_was_after_doubling_waits() -> None:
     writer, now, waits = Writer(), 0, []
-    writer.put(change(1), now)
+    writer.put([change(1)], now)
     for _ in range(8):
         assert writer.begin(now) == [change(1)]
         writer.failed("full", now)
-        writer.put(change(2), now)
+        writer.put([change(2)], now)
         assert writer.condition(now) == "full"
         waits.append(writer.due(now) or 0)
         now += waits[-1]
@@ -91,11 +91,12 @@
     writer.begin(now)
     writer.committed(now)
     assert writer.condition(now) == "well" and len(writer.begin(now)) == 8
+    assert writer.held == 8
 
 
 def test_what_finds_no_room_is_refused_counted_and_told_once_there_is_room() -> None:
     writer = Writer(most_waiting=3)
-    assert [writer.put(change(n), n) for n in range(6)] == [True] * 3 + [False] * 3
+    assert [writer.put([change(n)], n) for n in range(6)] == [True] * 3 + [False] * 3
     assert writer.take_refused().count == 0  # no room to say so yet
     writer.begin(10)
     writer.committed(11)
@@ -106,10 +107,22 @@
 def test_a_commit_holds_no_more_than_its_bound() -> None:
     writer = Writer()
     for n in range(MOST_IN_ONE + 5):
-        writer.put(change(n), 0)
+        writer.put([change(n)], 0)
     assert writer.due(0) == 0 and len(writer.begin(0)) == MOST_IN_ONE
 
 
+def test_groups_are_never_parted_between_two_commits() -> None:
+    writer = Writer()
+    writer.put([change(n) for n in range(MOST_IN_ONE - 1)], 0)
+    writer.put([change(n) for n in range(MOST_IN_ONE + 7)], 0)
+    writer.put([change(1)], 0)
+    assert len(writer.begin(0)) == 2 * MOST_IN_ONE + 6
+    writer.failed("full", 0)
+    assert len(writer.begin(0)) == 2 * MOST_IN_ONE + 6
+    writer.committed(1)
+    assert writer.held == 1
+
+
 def test_upkeep_keeps_to_its_budget_and_a_full_log_goes_first() -> None:
     upkeep, now, pages = Upkeep(scrubbing=False), 0, 0
     for _ in range(100):
--- a/wellhitch/emulator/disk.py
+++ b/wellhitch/emulator/disk.py
@@ -122,6 +122,10 @@
         self._free_at = max(self._free_at, now) + self.took_us
         self.loop.call_later((self._free_at - now) / 1e6, done, found)
 
+    def aside(self, engine: Engine, work: Callable[[Engine], Any], done: Callable[[Any], None]) -> None:
+        """As `Disk`."""
+        self.run(lambda: work(engine), done)
+
     # -- life and death --
 
     def op(self) -> bool:
--- a/wellhitch/lab/fleet.py
+++ b/wellhitch/lab/fleet.py
@@ -19,7 +19,7 @@
 from wellhitch.emulator.network import EmulatedNetwork
 from wellhitch.emulator.party import PartyLoop
 from wellhitch.interface.events import Opened
-from wellhitch.ledger.desk import Desk
+from wellhitch.ledger.desk import Desk, Door
 from wellhitch.ledger.entries import NumberKeys
 from wellhitch.net.seam import LoopbackNetwork
 from wellhitch.server.daemon import Daemon, Doors, Log, MakeDesk
@@ -125,6 +125,11 @@
     make_switch: Callable[[Opened, int, Outlet], Switch] = Switch
     clocks: dict[int, float] = field(default_factory=dict)  # seconds that a call server's clock is ahead
     disks: dict[int, EmulatedDisk] = field(default_factory=dict)
+    doors: dict[int, Door] = field(default_factory=dict)  # to the accounting side, by call server
+    power_cut: Callable[[int], float | None] = lambda number: (
+        None
+    )  # for one that is killed: the share of what was not
+    # synced that survives, where its machine lost power, None where only the process died
     wall_at_start: int = 1_796_083_200_000_000  # us since 1970 as the day begins: the first of December 2026
 
     def start(self, number: int) -> None:
@@ -166,7 +171,16 @@
             disk.loop = loop
             chance = random.Random(f"{self.day.seed} {number} {life}")
             return Desk(
-                loop, disk, number, roster, keys, lambda now: now + self.wall_at_start, send, log, chance
+                loop,
+                disk,
+                number,
+                roster,
+                keys,
+                lambda now: now + self.wall_at_start,
+                send,
+                log,
+                chance,
+                door=self.doors.get(number),
             )
 
         return make
@@ -181,8 +195,13 @@
         self.parties[number].gone = True
         daemon.stopped = True
         if daemon.desk:
-            daemon.desk.kill()
-            self.disks[number] = self.disks[number].after_kill()
+            keep = self.power_cut(number)
+            if keep is None:
+                daemon.desk.kill()
+                self.disks[number] = self.disks[number].after_kill()
+            else:
+                self.disks[number] = self.disks[number].after_power_cut(self.boots[number], keep)
+                daemon.desk.kill()
         for listener in daemon.listeners.values():
             listener.close()
         self.net.reset_host(host)
--- /dev/null
+++ b/wellhitch/lab/ledger_day.py
@@ -0,0 +1,261 @@
+"""A day with ledgers, over a month's end, whose books are held against what the callers and offices saw: call servers
+that are killed, machines that lose power, clocks that differ, an accounting side that loses answers."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from wellhitch.emulator.disk import EmulatedDisk
+from wellhitch.emulator.loop import VirtualLoop
+from wellhitch.emulator.network import EmulatedNetwork
+from wellhitch.judge.rules import Verdict, judge
+from wellhitch.lab.fleet import HostAddresses, InProcess, zone_delay
+from wellhitch.lab.play import COME_UP_S, LAST_S, VirtualWire
+from wellhitch.ledger.chain import ChainName, Wrong, verify
+from wellhitch.ledger.desk import STORE, Door
+from wellhitch.ledger.periods import MARGIN, end_of, next_of
+from wellhitch.server.daemon import Log
+from wellhitch.settings.day import Day
+from wellhitch.settings.sheet import span
+from wellhitch.stand_ins.accounting import Accounting, Booked, Ills
+from wellhitch.stand_ins.town import Town
+from wellhitch.stand_ins.troubles import schedule
+from wellhitch.store.records import Damaged
+from wellhitch.trunk import frames
+from wellhitch.trunk.capture import Capture, Note, read
+
+PERIOD = "2026-12"
+
+
+class _Box:
+    """The way to the stand-in accounting side, in virtual time: receipts come at the next look."""
+
+    def __init__(self, accounting: Accounting, instance: int) -> None:
+        self.accounting, self.instance = accounting, instance
+        self.back: list[bytes] = []
+
+    def put(self, sequence: int, data: bytes) -> None:
+        """As `Box`."""
+        self.back += self.accounting.hand_over(self.instance, data)
+
+    def receipts(self) -> list[bytes]:
+        """As `Box`."""
+        out, self.back = self.back, []
+        return out
+
+
+@dataclass
+class Books:
+    """What a day left in the books, beside what was seen."""
+
+    verdict: Verdict
+    stood: "dict[tuple[int, int], Stood]"
+    booked: dict[tuple[int, int], Booked]
+    wrong: list[Wrong]
+    accounting: Counter[str]
+    exported: dict[int, str]
+    counts: Counter[str]
+    words: list[tuple[int, str, dict[str, Any]]] = field(default_factory=list)
+
+
+def play(
+    day: Day,
+    ills: Ills,
+    seed: int = 1,
+    power_cuts: Callable[[int], bool] = lambda number: False,
+    after_s: float = 60.0,
+    clocks: dict[int, float] | None = None,
+) -> Books:
+    """Play a day that begins six seconds before the month ends, then as long as closing and export take. A call server
+    that the day's troubles kill loses the power of its machine where `power_cuts` says so."""
+    loop = VirtualLoop()
+    words: list[tuple[int, str, dict[str, Any]]] = []
+
+    def log(number: int) -> Log:
+        def write(event: str, **facts: Any) -> None:
+            if event.startswith(("ledger", "store")):
+                words.append((number, event, facts))
+
+        return write
+
+    try:
+        chance = random.Random(seed)
+        net = EmulatedNetwork(loop, day.seed, zone_delay(day), day.net.jitter)
+        addresses = HostAddresses()
+        fleet = InProcess(loop, day, addresses, net, log)
+        fleet.clocks = clocks or {}
+        fleet.wall_at_start = end_of(PERIOD) - 6_000_000 - round(COME_UP_S * 1e6)
+        fleet.power_cut = lambda number: chance.random() if power_cuts(number) else None
+        accounting_disk = EmulatedDisk(seed)
+        keys = {one.number: bytes([one.number % 256, 7]) * 16 for one in day.exchanges}
+        accounting = Accounting(accounting_disk.open("books"), keys, ills, chance)
+        fleet.doors = {number: Door(key, _Box(accounting, number)) for number, key in keys.items()}
+        town = Town(loop, day, net.at, addresses, fleet, VirtualWire(net), None)
+        for one in day.exchanges:
+            fleet.start(one.number)
+        loop.advance(COME_UP_S)
+        town.begin()
+        schedule(town)
+        loop.advance(span(day.length) / 1e6)
+        town.finish()
+        spent = 0.0
+        while town.open and spent < span(day.tail) / 1e6:
+            loop.advance(0.5)
+            spent += 0.5
+        for callers in town.callers.values():
+            callers.hang_up()
+        loop.advance(LAST_S)
+        # The day's links are of no use to the books; the ledgers' own go on.
+        left = (end_of(PERIOD) + MARGIN - fleet.wall_at_start) / 1e6 - loop.time()
+        loop.advance(max(0.0, left) + after_s)
+        # What ended after the month counts in the next, which ends as soon as all clocks are set a month on.
+        fleet.wall_at_start += end_of(next_of(PERIOD)) - end_of(PERIOD)
+        loop.advance(after_s)
+        exported = {number: daemon.desk.sent.done for number, daemon in fleet.daemons.items() if daemon.desk}
+        counts: Counter[str] = Counter()
+        for daemon in fleet.daemons.values():
+            if daemon.desk:
+                counts += daemon.desk.counts
+        fleet.power_cut = lambda number: None
+        fleet.close()
+        town.close()
+        captures = [read(recorder.held, name) for name, recorder in town.recorders.items()]
+        wrong = [one for disk in fleet.disks.values() for one in verified(disk)]
+        return Books(
+            judge(captures),
+            stood_of(captures),
+            accounting.booked(),
+            wrong,
+            accounting.counts,
+            exported,
+            counts,
+            words=words,
+        )
+    finally:
+        loop.close()
+
+
+def verified(disk: EmulatedDisk) -> list[Wrong]:
+    """What is wrong with the chains on a disk."""
+    engine = disk.after_kill().open(STORE)
+    chains: dict[ChainName, list[tuple[int, bytes | None]]] = {}
+    for one in engine.scan("chain"):
+        key = one.key if isinstance(one, Damaged) else one[0]
+        name, seq = ChainName.of_key(key)
+        chains.setdefault(name, []).append((seq, None if isinstance(one, Damaged) else one[2]))
+    engine.close()
+    return [wrong for name, rows in chains.items() for wrong in verify(name, rows)]
+
+
+@dataclass(slots=True)
+class Stood:
+    """A dialogue that a caller was told stands, by the captures: how long the caller's end and the far office's saw it
+    stand (None: no end seen there)."""
+
+    tenant: str
+    caller: int
+    office: int | None = None
+
+
+def stood_of(captures: list[Capture]) -> dict[tuple[int, int], Stood]:
+    """Dialogues that stood, by their names in the fleet. Callers do not know these: the far office's Setup names the
+    dialogue and the number called, which no two callers share."""
+    offices: dict[str, list[tuple[int, int | None, frames.Setup]]] = {}  # by number called: answered, ended
+    for capture in captures:
+        if capture.party == "office":
+            _office(capture, offices)
+    out: dict[tuple[int, int], Stood] = {}
+    for capture in captures:
+        if capture.party != "callers":
+            continue
+        for call, began, ended in _told(capture):
+            # The answer on its way to the caller: the last that an office of the number gave before.
+            fit = [one for one in offices.get(call.called or "", []) if one[0] <= began]
+            if fit:
+                answered, over, setup = max(fit, key=lambda one: one[0])
+                far = None if over is None else over - answered
+                out[setup.origin, setup.dialogue] = Stood(call.tenant or "", ended - began, far)
+    return out
+
+
+def _office(capture: Capture, into: dict[str, list[tuple[int, int | None, frames.Setup]]]) -> None:
+    setups: dict[tuple[int, int], frames.Setup] = {}
+    standing: dict[tuple[int, int], int] = {}
+
+    def over(key: tuple[int, int], at: int | None) -> None:
+        if key in standing:
+            setup = setups[key]
+            into.setdefault(setup.called or "", []).append((standing.pop(key), at, setup))
+
+    for line in capture.lines:
+        if isinstance(line, Note):
+            if line.what == "down":
+                for key in [key for key in standing if key[0] == line.facts["link"]]:
+                    over(key, line.t)
+            continue
+        frame, key = line.frame, (line.link, getattr(line.frame, "ref", 0))
+        if (
+            isinstance(frame, frames.Setup)
+            and line.way == "in"
+            and frame.destination == capture.facts["number"]
+        ):
+            setups[key] = frame
+        elif isinstance(frame, frames.Answer) and line.way == "out" and key in setups:
+            standing.setdefault(key, line.t)
+        elif isinstance(frame, frames.Release) or (isinstance(frame, frames.Cut) and line.way == "out"):
+            over(key, line.t)
+        elif isinstance(frame, frames.Cancel):
+            standing.pop(key, None)
+    for key in list(standing):
+        over(key, None)
+
+
+def _told(capture: Capture) -> list[tuple[frames.Call, int, int]]:
+    """Calls that were told to stand: when they heard, and when that was over for the caller."""
+    calls: dict[tuple[int, int], frames.Call] = {}
+    heard: dict[tuple[int, int], int] = {}
+    out = []
+
+    def over(key: tuple[int, int], at: int) -> None:
+        if key in heard:
+            out.append((calls[key], heard.pop(key), at))
+
+    for line in capture.lines:
+        if isinstance(line, Note):
+            if line.what == "down":
+                for key in [key for key in heard if key[0] == line.facts["link"]]:
+                    over(key, line.t)
+            continue
+        frame, key = line.frame, (line.link, getattr(line.frame, "id", 0))
+        if isinstance(frame, frames.Call):
+            calls[key] = frame
+        elif isinstance(frame, frames.Final) and frame.answer == "stands":
+            heard[key] = line.t
+        elif isinstance(frame, (frames.Leave, frames.Ended)):
+            over(key, line.t)
+    return out
+
+
+WAY = 400_000  # us that a caller's and a call server's view of one span may differ: the ways between them, an answer or
+# a release that waits in the own processor, and a link that is found broken
+
+
+def differences(books: Books, killed_us: int = 0) -> list[str]:
+    """Where the books are not what stood. `killed_us`: what a dialogue cut by a crash may be billed too little."""
+    out = []
+    for name, stood in books.stood.items():
+        booked = books.booked.get(name)
+        if booked is None:
+            out.append(f"{name}: stood {stood.caller} and is not booked")
+            continue
+        most = min(stood.caller, stood.office if stood.office is not None else stood.caller)
+        if not most - WAY - killed_us <= booked.billed <= most + WAY:
+            out.append(
+                f"{name}: stood {stood.caller} at the caller, {stood.office} at the office, booked {booked}"
+            )
+        if booked.tenant != stood.tenant:
+            out.append(f"{name}: of {stood.tenant}, booked to {booked.tenant}")
+    out += [f"{name}: booked and never stood" for name in books.booked.keys() - books.stood.keys()]
+    return out
--- /dev/null
+++ b/wellhitch/ledger/box.py
@@ -0,0 +1,56 @@
+"""Two folders through which files go to the accounting side and receipts come back. Files appear whole: they are
+written beside, synced and renamed. Runs on the disk's thread."""
+
+import contextlib
+import os
+from pathlib import Path
+from typing import Protocol
+
+MOST_RECEIPT = 4096  # bytes; a receipt has some 80
+
+
+class Box(Protocol):
+    """The way to the accounting side. Calls may block."""
+
+    def put(self, sequence: int, data: bytes) -> None:
+        """Hand a file over. Raises OSError."""
+
+    def receipts(self) -> list[bytes]:
+        """Receipts that lie there, and take them away. Raises OSError."""
+
+
+class FolderBox:
+    """`out/INSTANCE-SEQUENCE.wh` and `back/INSTANCE-SEQUENCE.wr` in a folder that both sides reach."""
+
+    def __init__(self, folder: Path, instance: int) -> None:
+        self._folder, self._instance = folder, instance
+
+    def put(self, sequence: int, data: bytes) -> None:
+        """As `Box`."""
+        out = self._folder / "out"
+        out.mkdir(parents=True, exist_ok=True)
+        put_whole(out / f"{self._instance}-{sequence:08}.wh", data)
+
+    def receipts(self) -> list[bytes]:
+        """As `Box`."""
+        found = []
+        for path in sorted((self._folder / "back").glob(f"{self._instance}-*.wr")):
+            with path.open("rb") as file:
+                found.append(file.read(MOST_RECEIPT))
+            path.unlink()
+        return found
+
+
+def put_whole(path: Path, data: bytes) -> None:
+    """Write a file so that whoever looks sees all of it or none."""
+    beside = path.with_name(f".{path.name}.part")
+    try:
+        with beside.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        beside.replace(path)
+    except OSError:
+        with contextlib.suppress(OSError):
+            beside.unlink()
+        raise
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -5,13 +5,13 @@
 import random
 import shlex
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from wellhitch.ledger import periods, reconcile
+from wellhitch.ledger import closing, export, periods, reconcile
 from wellhitch.ledger.book import (
     ABOUT,
     ALIVE_EVERY,
@@ -28,6 +28,7 @@
     begun,
     last_of,
 )
+from wellhitch.ledger.box import Box
 from wellhitch.ledger.chain import ChainName, Row, read_row
 from wellhitch.ledger.entries import BadEntry, Corrected, NumberKeys
 from wellhitch.ledger.periods import Agreement, Kept, Outcome, end_of, next_of, period_of
@@ -39,6 +40,7 @@
 from wellhitch.store.writer import LINGER
 
 STORE = "ledger"
+EXPORT, FILES, FIGURE = "export", "file", "figure"
 DIGEST = 16  # bytes of a row's hash by which it is told apart in a pull
 PULL_EVERY = (
     10_000_000  # us between two pulls from the same instance when all is level: evidence is so old at most
@@ -59,7 +61,10 @@
     standing: list[Standing] = field(default_factory=list)
     periods: dict[str, Kept] = field(default_factory=dict)
     about: list[tuple[int, str, bytes, bytes]] = field(default_factory=list)
+    about_from: str = ""  # the first period of which they are read; earlier ones are read when asked for
     heard: list[tuple[str, bytes, bytes]] = field(default_factory=list)
+    sent: export.Sent = field(default_factory=export.Sent)
+    files: dict[int, bytes] = field(default_factory=dict)
     damaged: int = 0
 
 
@@ -84,21 +89,62 @@
             kept = periods.KEPT.decode(one[2])
             out.periods[kept.period] = kept
     open_periods = {name for name, kept in out.periods.items() if kept.closed is None}
-    newest = max(out.periods, default="")
+    out.about_from = min(open_periods, default=max(out.periods, default=""))
     for one in engine.scan(ABOUT):
         if not isinstance(one, Damaged):
             period = one[2][:7].decode()
-            if period in open_periods or period > newest:
+            if period >= out.about_from:
                 out.about.append((int.from_bytes(one[0][:4], "big"), period, one[0][4:], one[2][7:]))
+    found = engine.get(EXPORT, b"")
+    if found:
+        out.sent = msgspec.msgpack.decode(found[1], type=export.Sent)
+    for one in engine.scan(FILES):
+        if not isinstance(one, Damaged):
+            out.files[int.from_bytes(one[0], "big")] = one[2]
     for one in engine.scan(HEARD):
         if not isinstance(one, Damaged):
             row = read_row(one[2])
-            if row.period in open_periods or row.period > newest:
-                name, _ = ChainName.of_key(one[0])
-                out.heard.append((row.period, one[0], row.hash(name)))
+            if row.period > out.sent.done:
+                out.heard.append((row.period, one[0], row.hash(ChainName.of_key(one[0])[0])))
     return out
 
 
+@dataclass(frozen=True, slots=True)
+class Door:
+    """The way to the accounting side, and the key that only the two sides have."""
+
+    key: bytes
+    box: Box
+
+
+@dataclass(frozen=True, slots=True)
+class Reckoned:
+    """What the next file of a period holds; whether more follow."""
+
+    lines: list[export.Line]
+    more: bool
+    lacking: int
+
+
+def reckon(engine: Engine, number: int, period: str) -> Reckoned:
+    """Settle a period over all rows on disk, and what of it is not exported yet. Runs beside the commits."""
+
+    def rows() -> Iterator[tuple[str, Row]]:
+        for shelf in (CHAIN, HEARD):
+            for one in engine.scan(shelf):
+                if not isinstance(one, Damaged):
+                    yield str(ChainName.of_key(one[0])[0]), read_row(one[2])
+
+    settled, lacking = closing.settled(number, rows(), period)
+    before = {}
+    for one in engine.scan(FIGURE):
+        if not isinstance(one, Damaged):
+            name = int.from_bytes(one[0][:4], "big"), int.from_bytes(one[0][4:], "big")
+            before[name] = msgspec.msgpack.decode(one[2], type=export.Exported)
+    lines = export.lines_of(period, settled, before)
+    return Reckoned(lines[: export.MOST_LINES], len(lines) > export.MOST_LINES, len(lacking))
+
+
 class Desk:
     """One instance's ledger. `send` carries bytes to another instance and tells whether a link was there; `wall` turns
     the loop's time into the wall's, both in us."""
@@ -115,6 +161,7 @@
         log: Callable[..., None],
         chance: random.Random,
         linger: int = LINGER,
+        door: Door | None = None,
     ) -> None:
         self.loop, self.number, self.wall_at, self.send_bytes, self.write_log = loop, number, wall, send, log
         self.roster = tuple(sorted({number, *roster}))
@@ -125,11 +172,17 @@
         self.agreements: dict[str, Agreement] = {}
         self.period = ""  # the one that is open
         self.about: dict[tuple[int, str], Collection] = {}  # own rows, by origin and period
+        self.about_from = ""
+        self._loading: set[tuple[int, str]] = set()
         self.heard: dict[tuple[int, str], Collection] = {}  # others' rows about own dialogues
         self.pulls: dict[tuple[int, str], Pull] = {}
         self.pulled: dict[tuple[int, str], int] = {}
         self.level: set[tuple[int, str]] = set()  # pulled to the end after the other end's statement
         self.allowance = Allowance()
+        self.door = door
+        self.sent = export.Sent()
+        self.sender: export.Sender | None = None
+        self._reckoning = self._handing = False
         self.told_closed: set[str] = set()
         self.refused_disk = ""
         self._early: deque[Callable[[], None]] = deque()
@@ -172,8 +225,14 @@
             self._collection(self.about, origin, period).add(key, digest[:DIGEST])
         for period, key, digest in found.heard:
             self._collection(self.heard, ChainName.of_key(key)[0].number, period).add(key, digest[:DIGEST])
+        self.about_from = found.about_from
+        self.sent = found.sent
+        if self.door:
+            self.sender = export.Sender(self.door.key, self.number, found.sent, found.files)
         stated = max(book.stated, default="")
-        self.period = next_of(stated) if stated else period_of(wall)
+        # On an old disk the period in which it last lived, not the present one: else a process that was away while a
+        # period ended would never state that, and all others would wait for it.
+        self.period = next_of(stated) if stated else period_of(wall if new else book.identity.alive)
         if new:
             self._put(book.alive(wall))
         else:
@@ -294,6 +353,8 @@
             for one in self.agreements.values():
                 self._do(one, one.again(wall))
         self._pull(now)
+        self._export()
+        self._hand_over(now)
 
     def state(self, period: str) -> None:
         """Say that this instance has no more for a period: at its end, or early by staff."""
@@ -371,7 +432,32 @@
             # Closed without this instance: it says no more for that period, what it adds is late.
             self.state(message.period)
 
+    def _load_about(self, origin: int, period: str) -> None:
+        """Read the rows about another's dialogues of an earlier period, which it asks for. Guards against an answer
+        that there are none, by which it would call itself level."""
+        key = (origin, period)
+        if key in self._loading:
+            return
+        self._loading.add(key)
+
+        def work(engine: Engine) -> Collection:
+            made, low = Collection(), origin.to_bytes(4, "big")
+            for one in engine.scan(ABOUT, low, (origin + 1).to_bytes(4, "big")):
+                if not isinstance(one, Damaged) and one[2][:7].decode() == period:
+                    made.add(one[0][4:], one[2][7 : 7 + DIGEST])
+            return made
+
+        def done(found: Any) -> None:
+            self._loading.discard(key)
+            if isinstance(found, Collection):
+                self.about[key] = found
+
+        self.keeper.aside(work, done)
+
     def _looked(self, sender: int, look: reconcile.Look) -> None:
+        if look.topic < self.about_from and (sender, look.topic) not in self.about:
+            self._load_about(sender, look.topic)
+            return  # it asks again
         told = reconcile.answer(self._collection(self.about, sender, look.topic), look)
         if self.allowance.may(len(msgspec.msgpack.encode(told)), self._now()):
             self._send(sender, told)
@@ -467,6 +553,104 @@
             if one and (other in one.said or one.kept.closed is not None):
                 self.level.add(key)
 
+    # -- export --
+
+    def _export(self) -> None:
+        """Make the next file of the next period that is closed and for which all evidence is here."""
+        later = sorted(name for name in self.agreements if name > self.sent.done)
+        if self.sender is None or self._reckoning or not later:
+            return
+        period = later[0]
+        one = self.agreements[period]
+        if one.kept.closed is None or self._needs(period, one):
+            return
+        self._reckoning = True
+
+        def done(found: Any) -> None:
+            if isinstance(found, Reckoned):
+                self._make_file(period, found)
+            else:
+                self._reckoning = False
+                self.counts["ledger_export_failed"] += 1
+
+        self.keeper.aside(lambda engine: reckon(engine, self.number, period), done)
+
+    def _make_file(self, period: str, found: Reckoned) -> None:
+        door, sender = self.door, self.sender
+        assert door and sender
+        sequence = self.sent.sequence + 1
+        data = export.make_file(door.key, self.number, sequence, period, found.lines, self.sent.mac)
+        mac = export.read_file(door.key, data).mac
+        before = msgspec.structs.replace(self.sent)
+        self.sent.sequence, self.sent.mac = sequence, mac
+        if not found.more:
+            self.sent.done = period
+        changes = [
+            Change(FILES, sequence.to_bytes(8, "big"), data),
+            Change(EXPORT, b"", msgspec.msgpack.encode(self.sent)),
+        ]
+        for line in found.lines:
+            key = line.origin.to_bytes(4, "big") + (line.dialogue & (1 << 64) - 1).to_bytes(8, "big")
+            figure = export.Exported(line.billed, line.corrects or period)
+            changes.append(Change(FIGURE, key, msgspec.msgpack.encode(figure)))
+
+        def safe() -> None:
+            # Handed over only now: a file that a power cut took back must not have been seen by the other side.
+            sender.files[sequence] = data
+            self._reckoning = False
+            self.write_log(
+                "ledger_file_made",
+                sequence=sequence,
+                period=period,
+                lines=len(found.lines),
+                lacking=found.lacking,
+            )
+
+        if not self.keeper.put(changes, safe):
+            for name in ("sequence", "mac", "done"):
+                setattr(self.sent, name, getattr(before, name))
+            self._reckoning = False
+
+    def _hand_over(self, now: int) -> None:
+        door, sender = self.door, self.sender
+        if door is None or sender is None or self._handing or not sender.files:
+            return
+        data, sequence = sender.next(now), min(sender.files)
+        self._handing = True
+
+        def work() -> Any:
+            try:
+                if data is not None:
+                    door.box.put(sequence, data)
+                return door.box.receipts()
+            except OSError as fault:
+                return fault
+
+        def done(found: Any) -> None:
+            self._handing = False
+            if not isinstance(found, list):
+                self.counts["ledger_hand_over_failed"] += 1
+                self.write_log("ledger_hand_over_failed", why=str(found))
+                return
+            for receipt in found:
+                self._receipted(sender, receipt)
+
+        self.keeper.run(work, done)
+
+    def _receipted(self, sender: export.Sender, receipt: bytes) -> None:
+        sequence = sender.heard(receipt)
+        if sequence is None:
+            self.counts["ledger_strange_receipt"] += 1
+            self.write_log("ledger_strange_receipt", why=sender.wrong)
+            return
+        self._put(
+            [
+                Change(EXPORT, b"", msgspec.msgpack.encode(self.sent)),
+                Change(FILES, sequence.to_bytes(8, "big"), None),
+            ]
+        )
+        self.write_log("ledger_file_booked", sequence=sequence)
+
     # -- what is shown --
 
     def status(self) -> dict[str, Any]:
@@ -482,6 +666,12 @@
             "period": self.period,
             "periods": {name: one.state for name, one in sorted(self.agreements.items())},
             "level_with": len(self.level),
+            "exported": {
+                "periods_to": self.sent.done,
+                "files": self.sent.sequence,
+                "booked": self.sent.receipted,
+                "waiting": len(self.sender.files) if self.sender else 0,
+            },
             "counts": dict(sorted((self.counts + self.keeper.counts).items())),
         }
 
--- a/wellhitch/ledger/periods.py
+++ b/wellhitch/ledger/periods.py
@@ -32,8 +32,11 @@
 
 def end_of(period: str) -> int:
     """The wall time at which a period ends. Raises ValueError for what is no period."""
+    digits = period[:4] + period[5:]
+    if len(period) != 7 or period[4] != "-" or not (digits.isascii() and digits.isdigit()):
+        raise ValueError(f"period {period[:20]!r}: such as 2026-12")
     year, month = int(period[:4]), int(period[5:])
-    if len(period) != 7 or period[4] != "-" or not 1 <= month <= 12:
+    if not (1 <= month <= 12 and 1970 <= year < 9999):
         raise ValueError(f"period {period!r}: such as 2026-12")
     after = datetime(year + month // 12, month % 12 + 1, 1, tzinfo=UTC)
     return int(after.timestamp()) * 1_000_000
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -60,6 +60,7 @@
     doubles: bool = False
     heeds: Share = 0.8
     impatient: Share = 0.0
+    tenants: list[str] = []
 
 
 class OfficeLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/wellhitch/stand_ins/accounting.py
@@ -0,0 +1,118 @@
+"""A stand-in accounting side: it takes files over, books each once in a store of its own, and answers with receipts. It
+may be slow, answer twice, answer for the wrong file, lose the answer, or take half and die."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+from wellhitch.ledger import export
+from wellhitch.ledger.export import BadFile
+from wellhitch.store.engine import Engine
+from wellhitch.store.records import Change
+
+BOOKED, LAST = "booked", "last"
+
+
+@dataclass(slots=True)
+class Ills:
+    """What is wrong with it, as shares of the files that it is handed."""
+
+    loses_answer: float = 0.0
+    answers_twice: float = 0.0
+    wrong_file: float = 0.0
+    takes_half: float = 0.0
+
+
+class Last(msgspec.Struct, frozen=True, array_like=True):
+    """The last file booked of an instance, with its receipt."""
+
+    sequence: int
+    mac: bytes
+    receipt: bytes
+
+
+class Booked(msgspec.Struct, frozen=True, array_like=True):
+    """What is booked of a dialogue: the sum of its changes, and how many lines spoke of it."""
+
+    tenant: str
+    use_case: str
+    billed: int
+    lines: int
+
+
+class Accounting:
+    """One accounting side. Its store outlives it: begin another on the same engine after it died."""
+
+    def __init__(self, engine: Engine, keys: dict[int, bytes], ills: Ills, chance: random.Random) -> None:
+        """`keys`: one an instance."""
+        self.engine, self.keys, self.ills, self.chance = engine, keys, ills, chance
+        self.counts: Counter[str] = Counter()
+        self._receipts: list[bytes] = []
+
+    def _last(self, instance: int) -> Last:
+        found = self.engine.get(LAST, instance.to_bytes(4, "big"))
+        return msgspec.msgpack.decode(found[1], type=Last) if found else Last(0, export.START, b"")
+
+    def hand_over(self, instance: int, data: bytes) -> list[bytes]:
+        """A file, whole or not; the receipts that are said, in order."""
+        if self.chance.random() < self.ills.takes_half:
+            data = data[: self.chance.randrange(len(data) + 1)]
+            self.counts["took_half"] += 1
+        key = self.keys[instance]
+        try:
+            file = export.read_file(key, data)
+        except BadFile:
+            self.counts["refused"] += 1
+            return []
+        if file.manifest.instance != instance:
+            self.counts["refused"] += 1
+            return []
+        last = self._last(instance)
+        taken = export.judge_file(file, last.sequence, last.mac)
+        if taken.what == "refuse":
+            self.counts["refused"] += 1
+            return []
+        receipt = export.make_receipt(key, file)
+        if taken.what == "book":
+            self._book(file, receipt)
+        return self._answers(receipt)
+
+    def _book(self, file: export.File, receipt: bytes) -> None:
+        """All lines and the mark that they are booked, or nothing."""
+        held: dict[bytes, Booked] = {}
+        for line in file.lines:
+            key = line.origin.to_bytes(4, "big") + (line.dialogue & (1 << 64) - 1).to_bytes(8, "big")
+            was = held.get(key)
+            if was is None and (found := self.engine.get(BOOKED, key)):
+                was = msgspec.msgpack.decode(found[1], type=Booked)
+            had, lines = (was.billed, was.lines) if was else (0, 0)
+            held[key] = Booked(line.tenant, line.use_case, had + line.change, lines + 1)
+        changes = [Change(BOOKED, key, msgspec.msgpack.encode(one)) for key, one in held.items()]
+        mark = Last(file.manifest.sequence, file.mac, receipt)
+        changes.append(Change(LAST, file.manifest.instance.to_bytes(4, "big"), msgspec.msgpack.encode(mark)))
+        self.engine.commit(changes)
+        self.counts["booked"] += 1
+
+    def _answers(self, receipt: bytes) -> list[bytes]:
+        out = [receipt]
+        if self.chance.random() < self.ills.answers_twice:
+            out.append(receipt)
+        if self._receipts and self.chance.random() < self.ills.wrong_file:
+            out.insert(0, self.chance.choice(self._receipts))
+            self.counts["answered_for_another"] += 1
+        if self.chance.random() < self.ills.loses_answer:
+            self.counts["lost_answer"] += 1
+            out = []
+        self._receipts.append(receipt)
+        return out
+
+    def booked(self) -> dict[tuple[int, int], Booked]:
+        """All that is booked, by dialogue."""
+        out = {}
+        for one in self.engine.scan(BOOKED):
+            assert isinstance(one, tuple)
+            dialogue = int.from_bytes(one[0][4:], "big")
+            out[int.from_bytes(one[0][:4], "big"), dialogue] = msgspec.msgpack.decode(one[2], type=Booked)
+        return out
--- a/wellhitch/stand_ins/callers.py
+++ b/wellhitch/stand_ins/callers.py
@@ -28,8 +28,13 @@
     marks_redials: bool = False
     short: list[tuple[float, float]] = field(default_factory=list)  # troubles: so many callers wait for this
     # share of their usual patience, and do not try again
+    tenants: tuple[str, ...] = ()  # a caller is of the one that its number falls to
     impatient: float = 0.0  # so many hang up at a chance time before their patience is over
 
+    def tenant_of(self, called: str) -> str | None:
+        """Whose caller it is, told by the number called alone: no draw, so that days with and without play alike."""
+        return self.tenants[sum(called.encode()) % len(self.tenants)] if self.tenants else None
+
 
 @dataclass(slots=True)
 class Demand:
@@ -204,6 +209,7 @@
             left,
             use.width,
             self.habits.marks_redials and case.tries > 1,
+            self.habits.tenant_of(case.called),
         )
         self.recorder.note("try", id=case.id, case=case.number, use_case=use.name, began=case.began)
         if port is None or port.link.peer is None or not port.send(call):
--- a/wellhitch/stand_ins/town.py
+++ b/wellhitch/stand_ins/town.py
@@ -239,6 +239,7 @@
             day.callers.heeds,
             day.limits.marks_redials,
             impatient=day.callers.impatient,
+            tenants=tuple(day.callers.tenants),
         )
         return Callers(
             self.loop,
--- a/wellhitch/store/keeper.py
+++ b/wellhitch/store/keeper.py
@@ -28,6 +28,9 @@
     def run(self, work: Callable[[], Any], done: Callable[[Any], None]) -> None:
         """Do work that may block, in the order asked; `done` gets its result, or the StoreFault it raised."""
 
+    def aside(self, engine: Engine, work: Callable[[Engine], Any], done: Callable[[Any], None]) -> None:
+        """Read on a connection of its own, beside `run`."""
+
 
 @dataclass(frozen=True, slots=True)
 class Condition:
@@ -115,13 +118,8 @@
         """Take changes; False, and none is taken, where there is no room. `safe` is called on the loop once all are
         on disk."""
         now = self.now()
-        if not self.room(len(changes)):
-            # All or none: half of what belongs together is worth nothing.
-            for _ in changes:
-                self.writer.refuse(now)
+        if not self.writer.put(changes, now):
             return False
-        for change in changes:
-            self.writer.put(change, now)
         self._put_count += len(changes)
         if safe:
             self._safe.append((self._put_count, safe))
@@ -245,6 +243,18 @@
             return
         self._run(lambda: work(engine), done)
 
+    def aside(self, work: Callable[[Engine], Any], done: Callable[[Any], None]) -> None:
+        """Read much, beside the commits and not between them; what waits to be committed may be missing."""
+        engine = self.engine
+        if engine is None:
+            self.loop.call_soon(done, StoreFault(self._open_trouble or "failing", f"{self.name} is not open"))
+            return
+        self.disk.aside(engine, work, lambda found: None if self._closing else done(found))
+
+    def run(self, work: Callable[[], Any], done: Callable[[Any], None]) -> None:
+        """Do other work that blocks on the same disk."""
+        self._run(work, done)
+
     def condition(self) -> Condition:
         """How the store is now."""
         changes, age = self.writer.at_risk(self.now())
@@ -270,8 +280,8 @@
         engine, batches = self.engine, []
         if self.writer.writing:
             # Under way or failed: put again as it was, which does no harm.
-            batches.append([change for change, _ in self.writer.writing])
-        batches.append([change for change, _ in self.writer.waiting])
+            batches.append([change for group, _ in self.writer.writing for change in group])
+        batches.append([change for group, _ in self.writer.waiting for change in group])
 
         def work() -> None:
             if engine is None:
--- a/wellhitch/store/system.py
+++ b/wellhitch/store/system.py
@@ -17,6 +17,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, folder: Path) -> None:
         self._loop, self._folder = loop, folder
         self._thread = ThreadPoolExecutor(1, thread_name_prefix="disk")
+        self._aside = ThreadPoolExecutor(1, thread_name_prefix="disk-aside")
         self._locks: dict[str, int] = {}
 
     def open(self, name: str) -> Engine:
@@ -38,7 +39,21 @@
 
     def run(self, work: Callable[[], Any], done: Callable[[Any], None]) -> None:
         """As `Disk`."""
+        self._on(self._thread, work, done)
 
+    def aside(self, engine: Engine, work: Callable[[Engine], Any], done: Callable[[Any], None]) -> None:
+        """As `Disk`."""
+
+        def read() -> Any:
+            other = Engine(engine.name, read_only=True)
+            try:
+                return work(other)
+            finally:
+                other.close()
+
+        self._on(self._aside, read, done)
+
+    def _on(self, thread: ThreadPoolExecutor, work: Callable[[], Any], done: Callable[[Any], None]) -> None:
         def guarded() -> None:
             found: Any
             try:
@@ -48,10 +63,11 @@
             if not self._loop.is_closed():
                 self._loop.call_soon_threadsafe(done, found)
 
-        self._thread.submit(guarded)
+        thread.submit(guarded)
 
     def close(self) -> None:
         """Wait for what was asked, then let the locks go."""
+        self._aside.shutdown(cancel_futures=True)
         self._thread.shutdown()
         for held in self._locks.values():
             os.close(held)
--- a/wellhitch/store/writer.py
+++ b/wellhitch/store/writer.py
@@ -6,6 +6,7 @@
 what waits is bounded, and what comes beyond is refused and counted, never silently dropped."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from wellhitch.store.records import Change
@@ -15,7 +16,10 @@
 )
 # (0.2 ms here, 5 to 10 ms on a turning disk) is then a small part
 MOST_WAITING = 100_000  # changes; a hundred seconds of 520 dialogues a second, two changes each, some 25 MB
-MOST_IN_ONE = 5_000  # changes of a commit; ten ms of work here, so that what follows does not wait long
+MOST_IN_ONE = (
+    5_000  # changes of a commit, but for a group that has more; ten ms of work here, so that what follows
+)
+# does not wait long
 FIRST_WAIT = 100_000  # us before a failed commit is tried again, doubling
 LONGEST_WAIT = 5_000_000  # us: a disk with room again is used within that
 SLOW = 1_000_000  # us that a commit may take before the disk is called slow; a hundred times the usual
@@ -37,8 +41,9 @@
 
     linger: int = LINGER
     most_waiting: int = MOST_WAITING
-    waiting: deque[tuple[Change, int]] = field(default_factory=deque)
-    writing: list[tuple[Change, int]] = field(default_factory=list)
+    waiting: deque[tuple[Sequence[Change], int]] = field(default_factory=deque)
+    writing: list[tuple[Sequence[Change], int]] = field(default_factory=list)
+    held: int = 0  # changes not on disk yet
     began: int | None = None
     retry_at: int = 0
     wait: int = FIRST_WAIT
@@ -47,17 +52,15 @@
     commits: int = 0
     longest: int = 0
 
-    @property
-    def held(self) -> int:
-        """Changes not on disk yet."""
-        return len(self.waiting) + len(self.writing)
-
-    def put(self, change: Change, now: int) -> bool:
-        """Take a change; False where there is no room: it is counted among the refused."""
-        if self.held >= self.most_waiting:
-            self.refuse(now)
+    def put(self, changes: Sequence[Change], now: int) -> bool:
+        """Take a group of changes, which go in one commit; False, and none is taken, where there is no room: they are
+        counted among the refused."""
+        if self.held + len(changes) > self.most_waiting:
+            for _ in changes:
+                self.refuse(now)
             return False
-        self.waiting.append((change, now))
+        self.waiting.append((changes, now))
+        self.held += len(changes)
         return True
 
     def refuse(self, now: int) -> None:
@@ -73,7 +76,7 @@
             return None
         if self.writing:
             return max(0, self.retry_at - now)
-        if len(self.waiting) >= MOST_IN_ONE:
+        if self.held >= MOST_IN_ONE:
             return 0
         return max(0, self.waiting[0][1] + self.linger - now)
 
@@ -81,15 +84,19 @@
         """The changes of the next commit, in the order they came. A batch that failed comes again as it was: its
         commit may have reached the disk although that said otherwise, and the same put twice does no harm."""
         assert self.began is None
-        if not self.writing:
-            for _ in range(min(MOST_IN_ONE, len(self.waiting))):
-                self.writing.append(self.waiting.popleft())
+        count = 0
+        while self.waiting and not self.trouble and count < MOST_IN_ONE:
+            # Groups are never parted: half of what belongs together is worth nothing.
+            group = self.waiting.popleft()
+            self.writing.append(group)
+            count += len(group[0])
         self.began = now
-        return [change for change, _ in self.writing]
+        return [change for group, _ in self.writing for change in group]
 
     def committed(self, now: int) -> int:
         """The commit is on disk; returns how many changes that were."""
-        done = len(self.writing)
+        done = sum(len(group) for group, _ in self.writing)
+        self.held -= done
         self.longest = max(self.longest, now - (self.began or now))
         self.writing, self.began = [], None
         self.commits += 1
