Instances with an old or lost disk are told apart and brought level; each process has a chain

A disk older than what others know would have said row numbers and export sequences twice. Each process now begins a chain bound to the end of the one before; all rows of an instance are kept at the next on the roster too and come back from there; the accounting side compares MACs, gives no receipt for a file that was never booked, and gives the booked ones back, whose figures are taken over.

--- a/wellhitch/ledger/book.py
+++ b/wellhitch/ledger/book.py
@@ -79,6 +79,7 @@
     identity: Identity
     chain: Chain
     keys: NumberKeys
+    end_before: tuple[int, int, bytes] = (0, 0, b"")  # mark, row and hash where the chain before ended
     stated: set[str] = field(default_factory=set)
     standing: dict[bytes, tuple[Standing, int]] = field(default_factory=dict)
     added: int = 0
@@ -174,11 +175,12 @@
         self.stated.add(period)
         return Statement(self.identity.number, self.chain.name.mark, self.chain.seq, self.chain.last)
 
-    def restarted(self, standing: Iterable[Standing], unsafe: int, wall: int) -> list[Change]:
-        """What a process that begins on an old chain says first: what stood is cut, as of the last moment that the one
-        before surely lived."""
+    def begins(self, standing: Iterable[Standing], unsafe: int, wall: int) -> list[Change]:
+        """What a process says first: where the chain before ended, and that what stood is cut as of the last moment
+        that the one before surely lived."""
         alive = self.identity.alive
-        out = self._row(Restarted(wall, alive, unsafe), wall)
+        end = self.end_before
+        out = self._row(Restarted(wall, alive, unsafe, *end), wall)
         for held in standing:
             # A clock set back between the two lives must not make a span under nought.
             over = Over(held.side, held.origin, held.dialogue, "restart", alive, max(0, alive - held.at))
@@ -186,27 +188,23 @@
             out.append(Change(STANDING, standing_key(held.side, held.origin, held.dialogue), None))
         return out
 
-    def new_chain(self, mark: int, wall: int) -> list[Change]:
-        """Begin another chain: this disk is older than what others know of it, and its row numbers are used up."""
-        self.identity.marks.append(mark)
-        self.chain = Chain(ChainName(self.identity.number, mark))
-        return self.alive(wall)
-
 
 def begun(
     number: int, found: bytes | None, last: tuple[int, bytes] | None, mark: int, keys: NumberKeys
 ) -> tuple[Book, bool]:
-    """The book of an instance, from its identity record and the last row of its present chain (its place and hash); and
-    whether the disk is new. Raises OtherDisk where it is another instance's."""
+    """The book of an instance, from its identity record and the last row of its latest chain (its place and hash); and
+    whether the disk is new. Each process begins a chain of its own, named by `mark`: on an old disk the numbers of the
+    rows that follow may be used up. Raises OtherDisk where it is another instance's."""
     if found is None:
-        identity = Identity(number, [mark])
-        return Book(identity, Chain(ChainName(number, mark)), keys), True
+        return Book(Identity(number, [mark]), Chain(ChainName(number, mark)), keys), True
     identity = msgspec.msgpack.decode(found, type=Identity)
     if identity.number != number:
         raise OtherDisk(f"this disk is that of call server {identity.number}, not {number}")
-    name = ChainName(number, identity.marks[-1])
-    seq, hash_ = last or (0, START)
-    return Book(identity, Chain(name, seq, hash_), keys), False
+    end = (identity.marks[-1], *(last or (0, START)))
+    while mark in identity.marks:  # drawn again by chance: its rows would take the place of the old ones
+        mark += 1
+    identity.marks.append(mark)
+    return Book(identity, Chain(ChainName(number, mark)), keys, end), False
 
 
 def last_of(name: ChainName, row: Row | None) -> tuple[int, bytes]:
--- a/wellhitch/ledger/box.py
+++ b/wellhitch/ledger/box.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Protocol
 
-MOST_RECEIPT = 4096  # bytes; a receipt has some 80
+MOST_BACK = 16 << 20  # bytes of what comes back: a receipt has some 80, a file that is given back some 2 MB
 
 
 class Box(Protocol):
@@ -16,11 +16,11 @@
         """Hand a file over. Raises OSError."""
 
     def receipts(self) -> list[bytes]:
-        """Receipts that lie there, and take them away. Raises OSError."""
+        """Receipts that lie there, and files given back, in order; and take them away. Raises OSError."""
 
 
 class FolderBox:
-    """`out/INSTANCE-SEQUENCE.wh` and `back/INSTANCE-SEQUENCE.wr` in a folder that both sides reach."""
+    """`out/INSTANCE-SEQUENCE.wh` to the accounting side, `back/INSTANCE-*.wr` from it, in a folder that both reach."""
 
     def __init__(self, folder: Path, instance: int) -> None:
         self._folder, self._instance = folder, instance
@@ -36,7 +36,7 @@
         found = []
         for path in sorted((self._folder / "back").glob(f"{self._instance}-*.wr")):
             with path.open("rb") as file:
-                found.append(file.read(MOST_RECEIPT))
+                found.append(file.read(MOST_BACK))
             path.unlink()
         return found
 
--- a/wellhitch/ledger/chain.py
+++ b/wellhitch/ledger/chain.py
@@ -1,8 +1,8 @@
 """The entries of one instance as a chain: each row is bound by its hash to the one before, so that a missing or altered
 one is found and named. Pure.
 
-A chain's name is the instance's number and a mark drawn when its disk was new: an instance that lost its disk, or came
-back with an old one, begins another chain and never says a number of a row twice."""
+A chain's name is the instance's number and a mark drawn as its process begins, and its first row names the end of the
+chain before. An instance that lost its disk, or came back with an old one, so never says a row's number twice."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -31,7 +31,7 @@
 from wellhitch.ledger.box import Box
 from wellhitch.ledger.chain import ChainName, Row, read_row
 from wellhitch.ledger.entries import BadEntry, Corrected, NumberKeys
-from wellhitch.ledger.periods import Agreement, Kept, Outcome, end_of, next_of, period_of
+from wellhitch.ledger.periods import Agreement, Kept, Outcome, end_of, next_of, period_of, previous_of
 from wellhitch.ledger.reconcile import Allowance, Collection, Pull
 from wellhitch.net.seam import now_us
 from wellhitch.store.engine import Engine
@@ -45,6 +45,10 @@
 PULL_EVERY = (
     10_000_000  # us between two pulls from the same instance when all is level: evidence is so old at most
 )
+BACK_EVERY = (
+    300_000_000  # us between two looks whether another keeps own rows that are not here: only a disk that
+)
+# was changed under a running process would need it again
 MOST_EARLY = 20_000  # events kept while the store is not open yet: 20 s of 520 dialogues a second, two each
 ROOM = 6  # changes that one event makes at most, with a gap before it
 
@@ -63,6 +67,7 @@
     about: list[tuple[int, str, bytes, bytes]] = field(default_factory=list)
     about_from: str = ""  # the first period of which they are read; earlier ones are read when asked for
     heard: list[tuple[str, bytes, bytes]] = field(default_factory=list)
+    own: list[tuple[str, bytes, bytes]] = field(default_factory=list)
     sent: export.Sent = field(default_factory=export.Sent)
     files: dict[int, bytes] = field(default_factory=dict)
     damaged: int = 0
@@ -101,11 +106,12 @@
     for one in engine.scan(FILES):
         if not isinstance(one, Damaged):
             out.files[int.from_bytes(one[0], "big")] = one[2]
-    for one in engine.scan(HEARD):
-        if not isinstance(one, Damaged):
-            row = read_row(one[2])
-            if row.period > out.sent.done:
-                out.heard.append((row.period, one[0], row.hash(ChainName.of_key(one[0])[0])))
+    for shelf, into in ((HEARD, out.heard), (CHAIN, out.own)):
+        for one in engine.scan(shelf):
+            if not isinstance(one, Damaged):
+                row = read_row(one[2])
+                if row.period > out.sent.done:
+                    into.append((row.period, one[0], row.hash(ChainName.of_key(one[0])[0])))
     return out
 
 
@@ -145,6 +151,18 @@
     return Reckoned(lines[: export.MOST_LINES], len(lines) > export.MOST_LINES, len(lacking))
 
 
+def _figure(line: export.Line, period: str) -> Change:
+    """What is remembered of a line that was exported."""
+    key = line.origin.to_bytes(4, "big") + (line.dialogue & (1 << 64) - 1).to_bytes(8, "big")
+    figure = export.Exported(line.billed, line.corrects or period)
+    return Change(FIGURE, key, msgspec.msgpack.encode(figure))
+
+
+def _no_figure(line: export.Line) -> Change:
+    """A line that was not exported after all."""
+    return Change(FIGURE, _figure(line, "").key, None)
+
+
 class Desk:
     """One instance's ledger. `send` carries bytes to another instance and tells whether a link was there; `wall` turns
     the loop's time into the wall's, both in us."""
@@ -172,9 +190,13 @@
         self.agreements: dict[str, Agreement] = {}
         self.period = ""  # the one that is open
         self.about: dict[tuple[int, str], Collection] = {}  # own rows, by origin and period
-        self.about_from = ""
+        self.about_from = ""  # earlier periods are read when asked for
+        self.kept_to = ""  # up to it, as well
         self._loading: set[tuple[int, str]] = set()
-        self.heard: dict[tuple[int, str], Collection] = {}  # others' rows about own dialogues
+        self.heard: dict[
+            tuple[int, str], Collection
+        ] = {}  # others' rows: about own dialogues, or all of one's
+        self.own: dict[tuple[int, str], Collection] = {}  # all own rows, for the instance that keeps them too
         self.pulls: dict[tuple[int, str], Pull] = {}
         self.pulled: dict[tuple[int, str], int] = {}
         self.level: set[tuple[int, str]] = set()  # pulled to the end after the other end's statement
@@ -225,7 +247,9 @@
             self._collection(self.about, origin, period).add(key, digest[:DIGEST])
         for period, key, digest in found.heard:
             self._collection(self.heard, ChainName.of_key(key)[0].number, period).add(key, digest[:DIGEST])
-        self.about_from = found.about_from
+        for period, key, digest in found.own:
+            self._collection(self.own, self.number, period).add(key, digest[:DIGEST])
+        self.about_from, self.kept_to = found.about_from, found.sent.done
         self.sent = found.sent
         if self.door:
             self.sender = export.Sender(self.door.key, self.number, found.sent, found.files)
@@ -233,11 +257,11 @@
         # On an old disk the period in which it last lived, not the present one: else a process that was away while a
         # period ended would never state that, and all others would wait for it.
         self.period = next_of(stated) if stated else period_of(wall if new else book.identity.alive)
-        if new:
-            self._put(book.alive(wall))
-        else:
-            self.write_log("ledger_restarted", chain=str(book.chain.name), row=book.chain.seq)
-            self._put(book.restarted(found.standing, LINGER, wall))
+        if not new:
+            self.write_log("ledger_restarted", chain=str(book.chain.name), before=book.end_before[1])
+        # First what the process before left, which is reckoned to its last moment; then this one's own.
+        first = book.begins(found.standing, LINGER, wall)
+        self._put(first + book.alive(wall))
         while self._early:
             self._early.popleft()()
 
@@ -326,7 +350,11 @@
 
     def _put(self, changes: list[Change], safe: Callable[[], None] | None = None) -> None:
         for change in changes:
-            if change.shelf == ABOUT and change.body is not None:
+            if change.shelf == CHAIN and change.body is not None:
+                row = read_row(change.body)
+                digest = row.hash(ChainName.of_key(change.key)[0])[:DIGEST]
+                self._collection(self.own, self.number, row.period).add(change.key, digest)
+            elif change.shelf == ABOUT and change.body is not None:
                 origin, key = int.from_bytes(change.key[:4], "big"), change.key[4:]
                 self._collection(self.about, origin, change.body[:7].decode()).add(
                     key, change.body[7 : 7 + DIGEST]
@@ -432,41 +460,65 @@
             # Closed without this instance: it says no more for that period, what it adds is late.
             self.state(message.period)
 
-    def _load_about(self, origin: int, period: str) -> None:
-        """Read the rows about another's dialogues of an earlier period, which it asks for. Guards against an answer
-        that there are none, by which it would call itself level."""
-        key = (origin, period)
+    def _load(self, shelf: str, whose: int, period: str, into: dict[tuple[int, str], Collection]) -> None:
+        """Read rows of an earlier period, for which another asks, into `into`. Guards against an answer that there are
+        none, by which it would call itself level."""
+        key = (whose, period)
         if key in self._loading:
             return
         self._loading.add(key)
 
         def work(engine: Engine) -> Collection:
-            made, low = Collection(), origin.to_bytes(4, "big")
-            for one in engine.scan(ABOUT, low, (origin + 1).to_bytes(4, "big")):
-                if not isinstance(one, Damaged) and one[2][:7].decode() == period:
-                    made.add(one[0][4:], one[2][7 : 7 + DIGEST])
+            made, low = Collection(), whose.to_bytes(4, "big")
+            for one in engine.scan(shelf, low, (whose + 1).to_bytes(4, "big")):
+                if isinstance(one, Damaged):
+                    continue
+                if shelf == ABOUT:
+                    if one[2][:7].decode() == period:
+                        made.add(one[0][4:], one[2][7 : 7 + DIGEST])
+                elif (row := read_row(one[2])).period == period:
+                    made.add(one[0], row.hash(ChainName.of_key(one[0])[0])[:DIGEST])
             return made
 
         def done(found: Any) -> None:
             self._loading.discard(key)
             if isinstance(found, Collection):
-                self.about[key] = found
+                into[key] = found
 
         self.keeper.aside(work, done)
 
+    def _asked_for(self, sender: int, topic: str) -> Collection | None:
+        """What a topic names for an instance: `about/PERIOD`, rows about its dialogues; `all/PERIOD`, all own rows, for
+        the one that keeps them too; `back/PERIOD`, its own rows as far as they are kept here."""
+        kind, _, period = topic.partition("/")
+        if kind == "about":
+            if period < self.about_from and (sender, period) not in self.about:
+                self._load(ABOUT, sender, period, self.about)
+                return None  # it asks again
+            return self._collection(self.about, sender, period)
+        if kind == "all":
+            return self._collection(self.own, self.number, period)
+        if kind == "back":
+            if period <= self.kept_to and (sender, period) not in self.heard:
+                self._load(HEARD, sender, period, self.heard)
+                return None
+            return self._collection(self.heard, sender, period)
+        return None
+
     def _looked(self, sender: int, look: reconcile.Look) -> None:
-        if look.topic < self.about_from and (sender, look.topic) not in self.about:
-            self._load_about(sender, look.topic)
-            return  # it asks again
-        told = reconcile.answer(self._collection(self.about, sender, look.topic), look)
+        mine = self._asked_for(sender, look.topic)
+        if mine is None:
+            return
+        told = reconcile.answer(mine, look)
         if self.allowance.may(len(msgspec.msgpack.encode(told)), self._now()):
             self._send(sender, told)
         else:
             self.counts["ledger_held_back"] += 1
 
     def _fetched(self, sender: int, fetch: reconcile.Fetch) -> None:
-        own = self.about.get((sender, fetch.topic))
-        keys = [key for key in fetch.keys[: reconcile.MOST_FETCHED] if own and own.get(key) is not None]
+        mine = self._asked_for(sender, fetch.topic)
+        keys = [key for key in fetch.keys[: reconcile.MOST_FETCHED] if mine and mine.get(key) is not None]
+        shelf = HEARD if fetch.topic.startswith("back/") else CHAIN
         if not self.allowance.may(300 * len(keys), self._now()):
             self.counts["ledger_held_back"] += 1
             return
@@ -475,7 +527,7 @@
             out = []
             for key in keys:
                 try:
-                    found = engine.get(CHAIN, key)
+                    found = engine.get(shelf, key)
                 except Damaged:
                     continue
                 if found:
@@ -493,24 +545,35 @@
         if pull is None:
             return
         for key, data in message.rows:
-            row = self._row_of(sender, key, data)
+            back = pull.topic.startswith("back/")
+            row = self._row_of(self.number if back else sender, key, data)
             if row and self.keeper.room(ROOM) and pull.took(key, row.hash(ChainName.of_key(key)[0])[:DIGEST]):
-                self.counts["ledger_rows_heard"] += 1
-                self._put([Change(HEARD, key, data)])
+                self.counts["ledger_rows_back" if back else "ledger_rows_heard"] += 1
+                self._put([Change(CHAIN if back else HEARD, key, data)])
         self._ask(sender, pull)
 
-    def _row_of(self, sender: int, key: bytes, data: bytes) -> Row | None:
+    def _row_of(self, owner: int, key: bytes, data: bytes) -> Row | None:
         """A row, where it is one of that instance's own."""
         try:
             name, seq = ChainName.of_key(key)
             row = read_row(data)
         except BadEntry:
             name, row, seq = ChainName(-1, 0), None, 0
-        if row is None or name.number != sender or row.seq != seq:
+        if row is None or name.number != owner or row.seq != seq:
             self.counts["ledger_strange_message"] += 1
             return None
         return row
 
+    @property
+    def kept_for(self) -> int:
+        """The instance all of whose rows are kept here too: the one before on the roster, in a ring."""
+        return self.roster[self.roster.index(self.number) - 1]
+
+    @property
+    def kept_at(self) -> int:
+        """The instance that keeps all rows of this one."""
+        return self.roster[(self.roster.index(self.number) + 1) % len(self.roster)]
+
     def _pull(self, now: int) -> None:
         """Go on with pulls, and begin those that are due: the open period and those not closed yet."""
         wanted = {self.period, *(name for name, one in self.agreements.items() if self._needs(name, one))}
@@ -518,12 +581,30 @@
             if other == self.number:
                 continue
             for period in sorted(wanted):
-                key = (other, period)
-                pull = self.pulls.get(key)
-                if pull is None and now - self.pulled.get(key, -PULL_EVERY) >= PULL_EVERY:
-                    pull = self.pulls[key] = Pull(period, self._collection(self.heard, other, period))
-                if pull is not None:
-                    self._ask(other, pull)
+                kind = "all" if other == self.kept_for else "about"
+                self._pull_one(other, f"{kind}/{period}", self.heard, other, PULL_EVERY, now)
+            if other == self.kept_at:
+                # What a lost or old disk lacks comes back from there: of this period and the one before; what is older
+                # staff bring back from a snapshot.
+                for period in (self.period, previous_of(self.period)):
+                    self._pull_one(other, f"back/{period}", self.own, self.number, BACK_EVERY, now)
+
+    def _pull_one(
+        self,
+        other: int,
+        topic: str,
+        where: dict[tuple[int, str], Collection],
+        whose: int,
+        every: int,
+        now: int,
+    ) -> None:
+        key = (other, topic)
+        pull = self.pulls.get(key)
+        if pull is None and now - self.pulled.get(key, -every) >= every:
+            mine = self._collection(where, whose, topic.partition("/")[2])
+            pull = self.pulls[key] = Pull(topic, mine)
+        if pull is not None:
+            self._ask(other, pull)
 
     def _needs(self, period: str, one: Agreement) -> bool:
         """Whether evidence of a period may still be lacking."""
@@ -542,16 +623,22 @@
                 continue  # asked again after a while, like one that was lost
             self._send(other, message)
         if pull.done:
-            key = (other, pull.topic)
-            del self.pulls[key]
-            self.pulled[key] = now
-            self.counts["ledger_pulls"] += 1
-            if pull.strange:
-                self.counts["ledger_strange_rows"] += len(pull.strange)
-                self.write_log("ledger_rows_differ", instance=other, rows=len(pull.strange))
-            one = self.agreements.get(pull.topic)
-            if one and (other in one.said or one.kept.closed is not None):
-                self.level.add(key)
+            self._pulled(other, pull, now)
+
+    def _pulled(self, other: int, pull: Pull, now: int) -> None:
+        """All that was asked for is here."""
+        kind, _, period = pull.topic.partition("/")
+        del self.pulls[other, pull.topic]
+        self.pulled[other, pull.topic] = now
+        self.counts["ledger_pulls"] += 1
+        if kind == "back":
+            return  # what is only here has not got there yet
+        if pull.strange:
+            self.counts["ledger_strange_rows"] += len(pull.strange)
+            self.write_log("ledger_rows_differ", instance=other, rows=len(pull.strange))
+        one = self.agreements.get(period)
+        if one and (other in one.said or one.kept.closed is not None):
+            self.level.add((other, period))
 
     # -- export --
 
@@ -589,10 +676,7 @@
             Change(FILES, sequence.to_bytes(8, "big"), data),
             Change(EXPORT, b"", msgspec.msgpack.encode(self.sent)),
         ]
-        for line in found.lines:
-            key = line.origin.to_bytes(4, "big") + (line.dialogue & (1 << 64) - 1).to_bytes(8, "big")
-            figure = export.Exported(line.billed, line.corrects or period)
-            changes.append(Change(FIGURE, key, msgspec.msgpack.encode(figure)))
+        changes += [_figure(line, period) for line in found.lines]
 
         def safe() -> None:
             # Handed over only now: a file that a power cut took back must not have been seen by the other side.
@@ -632,11 +716,32 @@
                 self.counts["ledger_hand_over_failed"] += 1
                 self.write_log("ledger_hand_over_failed", why=str(found))
                 return
-            for receipt in found:
-                self._receipted(sender, receipt)
+            for data in found:
+                back = sender.given_back(data)
+                if back is not None:
+                    self._adopt(*back)
+                else:
+                    self._receipted(sender, data)
 
         self.keeper.run(work, done)
 
+    def _adopt(self, file: export.File, void: list[export.File]) -> None:
+        """A file that this instance had made and does not remember: its figures are what was exported, and those of the
+        files that were made in its place were not."""
+        one = file.manifest
+        # The period is reckoned once more: what of it is not in the files that are given back goes in the next.
+        self.sent.done = max((name for name in self.agreements if name < one.period), default="")
+        changes = [Change(EXPORT, b"", msgspec.msgpack.encode(self.sent))]
+        for other in void:
+            changes.append(Change(FILES, other.manifest.sequence.to_bytes(8, "big"), None))
+            for line in other.lines:
+                was = msgspec.structs.replace(line, billed=line.billed - line.change)
+                changes.append(_figure(was, line.corrects) if line.corrects else _no_figure(line))
+        changes += [_figure(line, one.period) for line in file.lines]
+        self.counts["ledger_files_given_back"] += 1
+        self.write_log("ledger_file_given_back", sequence=one.sequence, period=one.period)
+        self._put(changes)
+
     def _receipted(self, sender: export.Sender, receipt: bytes) -> None:
         sequence = sender.heard(receipt)
         if sequence is None:
--- a/wellhitch/ledger/entries.py
+++ b/wellhitch/ledger/entries.py
@@ -55,12 +55,16 @@
 
 
 class Restarted(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """A process began on this chain; the one before surely lived until `alive`, and what it saw within the `unsafe`
-    microseconds after may be lost."""
+    """The first row of each process's chain: the process before surely lived until `alive`, and what it saw within the
+    `unsafe` microseconds after may be lost. `mark`, `seq`, `hash`: where its chain ended, as far as this disk
+    knows; mark 0 on a new disk. An old disk is told by this: others know rows beyond."""
 
     at: int
     alive: int
     unsafe: int
+    mark: int = 0
+    seq: int = 0
+    hash: bytes = b""
 
 
 class Corrected(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/wellhitch/ledger/export.py
+++ b/wellhitch/ledger/export.py
@@ -6,10 +6,14 @@
    whole file, sequence and the MAC of the file before. A file is never made anew under its number: it is on the store
    before its first byte is handed over, and handed over as it is until its receipt is there.
 2. The accounting side books a file and notes its sequence in one transaction of its own, takes only the next of
-   each instance, and answers a file it has booked already with the same receipt.
+   each instance, and answers a file it has booked already, by its MAC, with the same receipt. Another file under a
+   number that is booked is refused, and the booked ones from there on are given back.
 3. The receipt names the file's sequence and MAC, under the key. Only the receipt of the very file ends its handing
    over.
 
+4. An instance that came back with an old disk, or none, learns by 2 what it had exported: it takes the given-back files
+   as its own, and settles on from their figures.
+
 So a cut anywhere leaves a file not booked and handed over again, or booked and answered again. What neither side can
 mend is a side that loses what it called safe: the receipt's key then shows which."""
 
@@ -192,6 +196,29 @@
         self.asked_at = now
         return self.files[min(self.files)]
 
+    def given_back(self, data: bytes) -> tuple[File, list[File]] | None:
+        """A file that this instance made, and does not remember: the one that is booked in the place of the first
+        without a receipt. It holds from now on; those made here in its place and after, which are returned too, are
+        void."""
+        try:
+            file = read_file(self.key, data)
+        except BadFile:
+            return None
+        one = file.manifest
+        first = min(self.files, default=0)
+        follows = one.instance == self.instance and one.sequence == first
+        if not follows or read_file(self.key, self.files[first]).manifest.before != one.before:
+            # Of a later place: it is given back again once this one's turn comes.
+            return None
+        if read_file(self.key, self.files[first]).mac == file.mac:
+            return None
+        void = [read_file(self.key, self.files[n]) for n in sorted(self.files)]
+        self.files.clear()
+        self.sent.sequence = self.sent.receipted = one.sequence
+        self.sent.mac = file.mac
+        self.asked_at = -AGAIN
+        return file, void
+
     def heard(self, data: bytes) -> int | None:
         """A receipt came; the sequence it ends, or None where it changes nothing: doubled, of another file, not
         sealed."""
@@ -217,19 +244,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """What the accounting side does with a file: `book` it and then answer, `answer` again, or `refuse` with why."""
+    """What the accounting side does with a file: `book` it and then answer, `answer` again, `give_back` those it has
+    booked from that number on, or `refuse`, the last two with why."""
 
     what: str
     why: str = ""
 
 
-def judge_file(file: File, last: int, last_mac: bytes) -> Taken:
-    """Whether a file is the next of its instance, by what was booked last."""
+def judge_file(file: File, last: int, last_mac: bytes, booked_mac: bytes | None) -> Taken:
+    """Whether a file is the next of its instance, by what was booked last; `booked_mac`: of the file that is booked
+    under its number, if any."""
     one = file.manifest
     if one.lines != len(file.lines) or one.change != sum(line.change for line in file.lines):
         return Taken("refuse", "its manifest does not fit its lines")
     if one.sequence <= last:
-        return Taken("answer")
+        # Guards against a receipt for a file that was never booked: an old disk makes other files under old numbers.
+        if booked_mac == file.mac:
+            return Taken("answer")
+        return Taken("give_back", f"file {one.sequence} is booked, and is another one")
     if one.sequence != last + 1:
         return Taken("refuse", f"file {one.sequence} after {last}: one is missing between")
     if one.before != last_mac:
--- a/wellhitch/ledger/periods.py
+++ b/wellhitch/ledger/periods.py
@@ -47,6 +47,11 @@
     return period_of(end_of(period))
 
 
+def previous_of(period: str) -> str:
+    """The period before."""
+    return period_of(end_of(period) - 32 * 86_400_000_000)
+
+
 class Statement(msgspec.Struct, frozen=True, array_like=True):
     """How far one chain goes for a period: its last row in it, that row's hash."""
 
--- a/wellhitch/ledger/settle.py
+++ b/wellhitch/ledger/settle.py
@@ -9,7 +9,8 @@
 3. A dialogue that stood and is not over is `open` and billed later.
 4. Else the least that any end present saw it stand is billed. An end that answered it otherwise saw it stand for
    nothing; an end of which no entry came counts for nothing, neither for the tenant nor against.
-5. Where several entries of one end differ (an instance that came back with an old disk), the least counts.
+5. Where several entries of one end differ (an instance that came back with an old disk), one that a restart guessed
+   counts for nothing beside one that saw the end, and of the rest the least counts.
 6. Corrections by staff are added after that, each once; the whole is not under nought.
 
 The least is taken since a tenant pays for no microsecond that some end did not see. Ends that differ by more than
@@ -67,10 +68,15 @@
         self.overs |= other.overs
         self.corrections |= other.corrections
 
+    def _ends(self, side: str) -> list[Over]:
+        """The ends that one side saw; those that a restart guessed only where there is no other."""
+        overs = [one for one in self.overs if one.side == side]
+        return [one for one in overs if one.how != "restart"] or overs
+
     def _stood(self, side: str) -> int | None:
         """How long one side saw it stand: None where it said nothing, -1 where it stands still."""
         answers = [one for one in self.answers if one.side == side]
-        overs = [one for one in self.overs if one.side == side]
+        overs = self._ends(side)
         if any(one.answer != "stands" for one in answers):
             return 0
         if overs:
@@ -89,7 +95,7 @@
             return Settled(self.name, "orphan")
         spans = {side: self._stood(side) for side in ("origin", "tandem", "destination")}
         change = sum(one.change for one in self.corrections)
-        ended = min((one.at for one in self.overs if one.side == "origin"), default=origin.at)
+        ended = min((one.at for one in self._ends("origin")), default=origin.at)
         billed, state, dispute = 0, "not_billed", ""
         if origin.answer == "stands":
             if spans["origin"] == -1:
