--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -211,6 +211,7 @@
         over,
         st.sampled_from(["origin", "tandem", "destination"]),
         st.integers(0, 9).map(lambda n: n * SECOND),
+        st.sampled_from(["released", "cut", "restart"]),
     ),
     st.builds(lambda n: Corrected(3, 9, n * SECOND, "ana", "wrong", DECEMBER), st.integers(-5, 5)),
 )
@@ -247,6 +248,8 @@
         ([answered(), over(), answered("destination")], "billed", 5 * SECOND, ""),
         ([answered(), over(), Corrected(3, 9, -9 * SECOND, "ana", "x", 0)], "billed", 0, ""),
         ([answered(), over(), over(stood=3 * SECOND)], "billed", 3 * SECOND, ""),
+        ([answered(), over(), over(stood=SECOND, how="restart")], "billed", 5 * SECOND, ""),
+        ([answered(), over(stood=SECOND, how="restart")], "billed", SECOND, ""),
     ],
 )  # fmt: skip
 def test_what_the_rule_says(entries: list[Entry], state: str, billed: int, dispute: str) -> None:
--- a/wellhitch/cli/main.py
+++ b/wellhitch/cli/main.py
@@ -6,6 +6,7 @@
 from wellhitch.cli.day import day
 from wellhitch.cli.hooks import hooks
 from wellhitch.cli.judge import judge
+from wellhitch.cli.ledger import ledger
 from wellhitch.cli.measure import measure
 from wellhitch.cli.serve import serve
 
@@ -20,6 +21,7 @@
     wellhitch day play FILE.jsonnet  play a day against stand-ins and judge it
     wellhitch judge FOLDER           settle the five rules from captures
     wellhitch hooks test FOLDER      tools for those who write hooks
+    wellhitch ledger show SHEET      what was counted; verify, rate, correct, export
     wellhitch measure server         figures of this machine, beside a baseline
     """
 
@@ -29,4 +31,5 @@
 main.add_command(day)
 main.add_command(judge)
 main.add_command(hooks)
+main.add_command(ledger)
 main.add_command(measure)
--- a/wellhitch/cli/measure.py
+++ b/wellhitch/cli/measure.py
@@ -2,6 +2,7 @@
 
 import click
 
+from wellhitch.lab import measure_ledger
 from wellhitch.lab.measure import Measured, decide_alone
 from wellhitch.lab.measure_hooks import TEN_LINES, benches, report
 
@@ -48,6 +49,17 @@
     )
 
 
+@measure.command()
+@click.option("--entries", type=int, default=200_000, show_default=True, help="on disk and to reconcile")
+def ledger(entries: int) -> None:
+    """The ledger: writing, recovery, verifying, and reconciling beside other ways; and what it costs a call server.
+
+    \b
+    Example: wellhitch measure ledger --entries 1000000
+    """
+    measure_ledger.report(entries, click.echo)
+
+
 FLEETS = (26, 62, 200)
 RATES = (8.4, 100.0, 520.0)  # 8.4: 520 a second over 62 exchanges
 
--- a/wellhitch/cli/serve.py
+++ b/wellhitch/cli/serve.py
@@ -16,7 +16,8 @@
 from wellhitch.cli.check import read_sheet
 from wellhitch.cli.errors import told_plainly
 from wellhitch.cli.logs import set_up
-from wellhitch.ledger.desk import Desk
+from wellhitch.ledger.box import FolderBox
+from wellhitch.ledger.desk import Desk, Door
 from wellhitch.ledger.entries import NumberKeys
 from wellhitch.net.seam import LoopbackNetwork, now_us
 from wellhitch.server.daemon import Daemon, Doors, Log, MakeDesk
@@ -45,8 +46,8 @@
     """
     with told_plainly():
         sheet = read_sheet(file)
-        keys = read_number_keys(sheet, file)
-    sys.exit(asyncio.run(_serve(sheet, file, log_level, keys)))
+        keys, door = read_number_keys(sheet, file), read_door(sheet, file)
+    sys.exit(asyncio.run(_serve(sheet, file, log_level, keys, door)))
 
 
 def read_number_keys(sheet: Sheet, file: Path) -> NumberKeys:
@@ -61,7 +62,26 @@
         raise Faults(str(path), [f"ledger.number_keys: {fault}"]) from None
 
 
-def _ledger(sheet: Sheet, disk: SystemDisk, keys: NumberKeys, epoch: float) -> MakeDesk:
+def read_export_key(path: Path) -> bytes:
+    """The key of the two sides of the export. Raises Faults."""
+    try:
+        key = bytes.fromhex(path.read_text().strip())
+    except (OSError, ValueError) as fault:
+        raise Faults(str(path), [f"ledger.export_key: {fault}"]) from None
+    if len(key) != 32:
+        raise Faults(str(path), [f"ledger.export_key: {len(key)} bytes, not 32"])
+    return key
+
+
+def read_door(sheet: Sheet, file: Path) -> Door | None:
+    """The way to the accounting side that a sheet names. Raises Faults."""
+    if not sheet.ledger or not sheet.ledger.export:
+        return None
+    key = read_export_key(file.parent / sheet.ledger.export_key)
+    return Door(key, FolderBox(file.parent / sheet.ledger.export, sheet.number))
+
+
+def _ledger(sheet: Sheet, disk: SystemDisk, keys: NumberKeys, epoch: float, door: Door | None) -> MakeDesk:
     """The desk of a sheet's ledger. `epoch`: the wall clock's seconds when the loop's were nought."""
     line = sheet.ledger
     assert line
@@ -72,7 +92,7 @@
 
         # The mark of a new disk must differ from that of any disk of this instance before.
         chance = random.Random(f"{sheet.seed} {os.getpid()} {epoch}")
-        return Desk(loop, disk, sheet.number, line.roster, keys, wall, send, log, chance)
+        return Desk(loop, disk, sheet.number, line.roster, keys, wall, send, log, chance, door=door)
 
     return make
 
@@ -108,7 +128,7 @@
         log("hooks_state_not_kept", why=f"{state}: {fault}")
 
 
-async def _serve(sheet: Sheet, file: Path, log_level: str, keys: NumberKeys) -> int:
+async def _serve(sheet: Sheet, file: Path, log_level: str, keys: NumberKeys, door: Door | None) -> int:
     loop = asyncio.get_running_loop()
     logger = set_up(log_level)
     over: asyncio.Future[int] = loop.create_future()
@@ -128,7 +148,7 @@
     boot = (now_us(loop) << 16 | os.getpid() & 0xFFFF) & ((1 << 62) - 1)
     doors = Doors(d.callers, d.peers, d.operators, d.register, d.centre)
     disk = SystemDisk(loop, file.parent / sheet.ledger.folder) if sheet.ledger else None
-    make_desk = _ledger(sheet, disk, keys, time.time() - now_us(loop) / 1e6) if disk else None
+    make_desk = _ledger(sheet, disk, keys, time.time() - now_us(loop) / 1e6, door) if disk else None
     daemon = Daemon(
         loop,
         LoopbackNetwork(loop),
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -7,6 +7,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any
 
 import msgspec
@@ -49,6 +50,9 @@
     300_000_000  # us between two looks whether another keeps own rows that are not here: only a disk that
 )
 # was changed under a running process would need it again
+READ_ROWS = 1_000  # rows of one piece when digests are read: 15 ms of a processor
+READ_EVERY_S = 0.05  # between two pieces: a third of a processor at most
+READ_AGAIN_S = 1.0  # after a piece that failed
 MOST_EARLY = 20_000  # events kept while the store is not open yet: 20 s of 520 dialogues a second, two each
 ROOM = 6  # changes that one event makes at most, with a gap before it
 
@@ -64,10 +68,7 @@
     last: tuple[int, bytes] | None = None
     standing: list[Standing] = field(default_factory=list)
     periods: dict[str, Kept] = field(default_factory=dict)
-    about: list[tuple[int, str, bytes, bytes]] = field(default_factory=list)
     about_from: str = ""  # the first period of which they are read; earlier ones are read when asked for
-    heard: list[tuple[str, bytes, bytes]] = field(default_factory=list)
-    own: list[tuple[str, bytes, bytes]] = field(default_factory=list)
     sent: export.Sent = field(default_factory=export.Sent)
     files: dict[int, bytes] = field(default_factory=dict)
     damaged: int = 0
@@ -95,26 +96,35 @@
             out.periods[kept.period] = kept
     open_periods = {name for name, kept in out.periods.items() if kept.closed is None}
     out.about_from = min(open_periods, default=max(out.periods, default=""))
-    for one in engine.scan(ABOUT):
-        if not isinstance(one, Damaged):
-            period = one[2][:7].decode()
-            if period >= out.about_from:
-                out.about.append((int.from_bytes(one[0][:4], "big"), period, one[0][4:], one[2][7:]))
     found = engine.get(EXPORT, b"")
     if found:
         out.sent = msgspec.msgpack.decode(found[1], type=export.Sent)
     for one in engine.scan(FILES):
         if not isinstance(one, Damaged):
             out.files[int.from_bytes(one[0], "big")] = one[2]
-    for shelf, into in ((HEARD, out.heard), (CHAIN, out.own)):
-        for one in engine.scan(shelf):
-            if not isinstance(one, Damaged):
-                row = read_row(one[2])
-                if row.period > out.sent.done:
-                    into.append((row.period, one[0], row.hash(ChainName.of_key(one[0])[0])))
     return out
 
 
+Digested = tuple[str, bytes, str, bytes]
+"""Shelf, key, period and digest of a row."""
+
+
+def read_digests(engine: Engine, shelf: str, after: bytes, most: int) -> tuple[list[Digested], bytes | None]:
+    """The next rows of a shelf, and the key to go on after; None when that was the last."""
+    out: list[Digested] = []
+    last: bytes | None = None
+    for one in islice(engine.scan(shelf, after + b"\0"), most):
+        last = one.key if isinstance(one, Damaged) else one[0]
+        if isinstance(one, Damaged):
+            continue
+        if shelf == ABOUT:
+            out.append((shelf, one[0], one[2][:7].decode(), one[2][7 : 7 + DIGEST]))
+        else:
+            row = read_row(one[2])
+            out.append((shelf, one[0], row.period, row.hash(ChainName.of_key(one[0])[0])[:DIGEST]))
+    return out, last
+
+
 @dataclass(frozen=True, slots=True)
 class Door:
     """The way to the accounting side, and the key that only the two sides have."""
@@ -192,6 +202,7 @@
         self.about: dict[tuple[int, str], Collection] = {}  # own rows, by origin and period
         self.about_from = ""  # earlier periods are read when asked for
         self.kept_to = ""  # up to it, as well
+        self.digests_read = False
         self._loading: set[tuple[int, str]] = set()
         self.heard: dict[
             tuple[int, str], Collection
@@ -243,12 +254,6 @@
             self.agreements[kept.period] = Agreement(self.number, self.roster, kept)
             if kept.statement:
                 book.stated.add(kept.period)
-        for origin, period, key, digest in found.about:
-            self._collection(self.about, origin, period).add(key, digest[:DIGEST])
-        for period, key, digest in found.heard:
-            self._collection(self.heard, ChainName.of_key(key)[0].number, period).add(key, digest[:DIGEST])
-        for period, key, digest in found.own:
-            self._collection(self.own, self.number, period).add(key, digest[:DIGEST])
         self.about_from, self.kept_to = found.about_from, found.sent.done
         self.sent = found.sent
         if self.door:
@@ -264,6 +269,37 @@
         self._put(first + book.alive(wall))
         while self._early:
             self._early.popleft()()
+        self._read_on([ABOUT, HEARD, CHAIN], b"")
+
+    def _read_on(self, shelves: list[str], after: bytes) -> None:
+        """Read the digests that are on disk, piece by piece beside the work: a million take a minute, and until then
+        nothing is pulled from others or answered to them."""
+        if not shelves:
+            self.digests_read = True
+            return
+        shelf = shelves[0]
+
+        def done(found: Any) -> None:
+            if not isinstance(found, tuple):
+                self.loop.call_later(READ_AGAIN_S, self._read_on, shelves, after)
+                return
+            rows, last = found
+            for one in rows:
+                self._digested(*one)
+            if last is None:
+                self._read_on(shelves[1:], b"")
+            else:
+                self.loop.call_later(READ_EVERY_S, self._read_on, shelves, last)
+
+        self.keeper.aside(lambda engine: read_digests(engine, shelf, after, READ_ROWS), done)
+
+    def _digested(self, shelf: str, key: bytes, period: str, digest: bytes) -> None:
+        if shelf == ABOUT:
+            if period >= self.about_from:
+                self._collection(self.about, int.from_bytes(key[:4], "big"), period).add(key[4:], digest)
+        elif period > self.kept_to:
+            where = self.heard if shelf == HEARD else self.own
+            self._collection(where, ChainName.of_key(key)[0].number, period).add(key, digest)
 
     def _collection(self, where: dict[tuple[int, str], Collection], number: int, period: str) -> Collection:
         found = where.get((number, period))
@@ -491,6 +527,8 @@
         """What a topic names for an instance: `about/PERIOD`, rows about its dialogues; `all/PERIOD`, all own rows, for
         the one that keeps them too; `back/PERIOD`, its own rows as far as they are kept here."""
         kind, _, period = topic.partition("/")
+        if not self.digests_read:
+            return None  # it asks again
         if kind == "about":
             if period < self.about_from and (sender, period) not in self.about:
                 self._load(ABOUT, sender, period, self.about)
@@ -576,6 +614,8 @@
 
     def _pull(self, now: int) -> None:
         """Go on with pulls, and begin those that are due: the open period and those not closed yet."""
+        if not self.digests_read:
+            return
         wanted = {self.period, *(name for name, one in self.agreements.items() if self._needs(name, one))}
         for other in self.roster:
             if other == self.number:
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -78,11 +78,15 @@
 class LedgerLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The ledger. `folder`: where it is kept, relative to the sheet's. `roster`: the numbers of all call servers that
     keep one, which close its periods together. `number_keys`: a file of keys for called numbers,
-    `{"1": "64 hex digits"}`, the highest in use; empty: no called number is kept."""
+    `{"1": "64 hex digits"}`, the highest in use; empty: no called number is kept. `export`: the folder that the
+    accounting side reaches too; `export_key`: a file with the key that only both sides have, 64 hex digits; empty:
+    nothing is exported."""
 
     folder: str
     roster: list[Count]
     number_keys: str = ""
+    export: str = ""
+    export_key: str = ""
 
 
 class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -109,6 +113,8 @@
         lines += [f"ledger.roster = {n}: named twice" for n in sorted(set(roster)) if roster.count(n) > 1]
         if sheet.number not in roster:
             lines.append(f"ledger.roster = {roster}: this call server, {sheet.number}, is not in it")
+        if bool(sheet.ledger.export) != bool(sheet.ledger.export_key):
+            lines.append("ledger.export and ledger.export_key: both, or neither")
         if not sheet.ledger.folder:
             lines.append("ledger.folder = '': a folder")
         if not sheet.doors.peers and len(roster) > 1:
