The settling rule counts only the dial that stood; `ledger audit` holds books against captures

A tandem had turned the first dial back, the second stood, and the rule took the tandem's word for the dialogue. Entries now name the dial that asked, the own dial that stood and the tandem it went by; an end's word counts only along that way. A tandem asked twice for a dialogue keeps both apart.

--- a/wellhitch/cli/ledger.py
+++ b/wellhitch/cli/ledger.py
@@ -16,6 +16,7 @@
 from wellhitch.cli.check import read_sheet
 from wellhitch.cli.errors import told_plainly
 from wellhitch.cli.serve import read_export_key, read_number_keys
+from wellhitch.lab import ledger_day
 from wellhitch.lab.ledger_page import page
 from wellhitch.ledger import reading
 from wellhitch.ledger.box import put_whole
@@ -28,6 +29,7 @@
 from wellhitch.settings.template import evaluate
 from wellhitch.stand_ins.accounting import Accounting, Ills
 from wellhitch.store.engine import Engine, StoreFault
+from wellhitch.trunk.capture import BadCapture
 
 MOST_UNRATED = 10  # dialogues without a price that are named; the rest is counted
 
@@ -282,6 +284,25 @@
     )
 
 
+@ledger.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+def audit(folder: Path) -> None:
+    """Hold the ledgers of a day against its captures: FOLDER is that of `day play --processes --capture FOLDER`, of a
+    day with `ledger: true`. Exit 1 where a dialogue is billed otherwise than it stood."""
+    with told_plainly():
+        try:
+            found = ledger_day.audit(folder)
+        except (BadCapture, StoreFault) as fault:
+            raise Faults(str(folder), [str(fault)]) from None
+    for word in [*found.faults, *found.wrong, *found.lost][:MOST_UNRATED]:
+        click.echo(word)
+    click.echo(
+        f"{found.stood} dialogues stood by the captures, {found.billed} are billed; {len(found.lost)} lost with "
+        f"{found.killed} killed processes, {len(found.wrong)} otherwise than they stood, {len(found.faults)} faults"
+    )
+    sys.exit(1 if found.wrong or found.faults else 0)
+
+
 @ledger.command()
 @click.argument("folder", type=click.Path(path_type=Path))
 @click.option(
--- a/wellhitch/lab/ledger_day.py
+++ b/wellhitch/lab/ledger_day.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 from wellhitch.emulator.disk import EmulatedDisk
@@ -13,6 +14,7 @@
 from wellhitch.judge.rules import Verdict, judge
 from wellhitch.lab.fleet import HostAddresses, InProcess, zone_delay
 from wellhitch.lab.play import COME_UP_S, LAST_S, VirtualWire
+from wellhitch.ledger import reading
 from wellhitch.ledger.chain import ChainName, Wrong, verify
 from wellhitch.ledger.desk import STORE, Door
 from wellhitch.ledger.periods import MARGIN, end_of, next_of
@@ -24,7 +26,7 @@
 from wellhitch.stand_ins.troubles import schedule
 from wellhitch.store.records import Damaged
 from wellhitch.trunk import frames
-from wellhitch.trunk.capture import Capture, Note, read
+from wellhitch.trunk.capture import Capture, Note, read, read_folder
 
 PERIOD = "2026-12"
 
@@ -270,3 +272,39 @@
             out.append(f"{name}: of {stood.tenant}, booked to {booked.tenant}")
     out += [f"{name}: booked and never stood" for name in books.booked.keys() - books.stood.keys()]
     return out
+
+
+@dataclass(slots=True)
+class Audit:
+    """The ledgers of a day that was played in processes, held against its captures."""
+
+    stood: int
+    billed: int
+    lost: list[str]
+    wrong: list[str]
+    faults: list[str]
+    killed: int
+
+
+def audit(folder: Path) -> Audit:
+    """Hold `ledger-N` of a folder against the captures beside them: what each origin's disk settles to is what stood.
+    `lost`: dialogues that stood and are not on the disk, as a process that is killed loses what came within the linger.
+    Raises BadCapture, StoreFault."""
+    captures = read_folder(folder)
+    booked: dict[tuple[int, int], Booked] = {}
+    faults: list[str] = []
+    for path in sorted(folder.glob("ledger-*")):
+        found = reading.read(path)
+        faults += found.wrong
+        for one in found.settled():
+            if one.state == "billed":
+                booked[one.name] = Booked(one.tenant, one.use_case, one.billed, 1)
+    stood = stood_of(captures)
+    notes = [line for capture in captures for line in capture.lines if isinstance(line, Note)]
+    killed = sum(note.what == "server_killed" for note in notes)
+    books = Books(Verdict([], Counter()), stood, booked, [], Counter(), {}, Counter())
+    # A process that was killed is billed to its last note of life: a second, and as long as that waits for the disk.
+    found_wrong = differences(books, 1_200_000 if killed else 0)
+    lost = [one for one in found_wrong if one.endswith("is not booked")]
+    wrong = [one for one in found_wrong if one not in lost]
+    return Audit(len(stood), len(booked), lost, wrong, faults, killed)
--- a/wellhitch/ledger/book.py
+++ b/wellhitch/ledger/book.py
@@ -43,6 +43,7 @@
     origin: int
     dialogue: int
     at: int
+    dial: int = -1
 
 
 class OtherDisk(Exception):
@@ -63,13 +64,15 @@
     tenant: str | None = None
     tags: tuple[str, ...] = ()
     hooks: str = ""
+    dial: int = -1
+    onward: int = -1
+    via: int = -1
 
 
-def standing_key(side: str, origin: int, dialogue: int) -> bytes:
-    """The store's key of a dialogue that stands."""
-    return (
-        origin.to_bytes(4, "big") + (dialogue & (1 << 64) - 1).to_bytes(8, "big") + bytes([SIDE_CODES[side]])
-    )
+def standing_key(side: str, origin: int, dialogue: int, dial: int) -> bytes:
+    """The store's key of a dialogue that stands. A tandem may be asked for the same dialogue by several dials."""
+    name = origin.to_bytes(4, "big") + (dialogue & (1 << 64) - 1).to_bytes(8, "big")
+    return name + bytes([SIDE_CODES[side]]) + (dial + 1 & 0xFFFF).to_bytes(2, "big")
 
 
 Fresh = tuple[str, bytes, bytes, int | None]
@@ -126,22 +129,27 @@
             number_key,
             seen.tags,
             seen.hooks,
+            seen.dial,
+            seen.onward,
+            seen.via,
         )
         out = self._row(entry, wall, seen.origin)
         if answer == "stands":
-            key = standing_key(seen.side, seen.origin, seen.dialogue)
-            held = Standing(seen.side, seen.origin, seen.dialogue, wall)
+            key = standing_key(seen.side, seen.origin, seen.dialogue, seen.dial)
+            held = Standing(seen.side, seen.origin, seen.dialogue, wall, seen.dial)
             self.standing[key] = held, now
             out.append(Change(STANDING, key, msgspec.msgpack.encode(held)))
         return out
 
-    def over(self, side: str, origin: int, dialogue: int, how: str, wall: int, now: int) -> list[Change]:
+    def over(
+        self, side: str, origin: int, dialogue: int, how: str, wall: int, now: int, dial: int = -1
+    ) -> list[Change]:
         """A dialogue that stood is over. How long it stood is by the loop's clock, which nobody sets back."""
-        key = standing_key(side, origin, dialogue)
+        key = standing_key(side, origin, dialogue, dial)
         held = self.standing.pop(key, None)
         if held is None:
             return []  # it never stood as far as this ledger was told: nothing to end
-        entry = Over(side, origin, dialogue, how, wall, max(0, now - held[1]))
+        entry = Over(side, origin, dialogue, how, wall, max(0, now - held[1]), dial)
         return [*self._row(entry, wall, origin), Change(STANDING, key, None)]
 
     def witnessed(self, seen: Seen, how: str, stood: int, wall: int) -> list[Change]:
@@ -159,8 +167,9 @@
             "",
             number,
             number_key,
+            dial=seen.dial,
         )
-        over = Over(seen.side, seen.origin, seen.dialogue, how, wall, stood)
+        over = Over(seen.side, seen.origin, seen.dialogue, how, wall, stood, seen.dial)
         return self._row(answer, wall, seen.origin) + self._row(over, wall, seen.origin)
 
     def add(self, entry: Entry, wall: int) -> list[Change]:
@@ -191,9 +200,11 @@
         out = self._row(Restarted(wall, alive, unsafe, *end), wall)
         for held in standing:
             # A clock set back between the two lives must not make a span under nought.
-            over = Over(held.side, held.origin, held.dialogue, "restart", alive, max(0, alive - held.at))
+            over = Over(
+                held.side, held.origin, held.dialogue, "restart", alive, max(0, alive - held.at), held.dial
+            )
             out += self._row(over, wall, held.origin)
-            out.append(Change(STANDING, standing_key(held.side, held.origin, held.dialogue), None))
+            out.append(Change(STANDING, standing_key(held.side, held.origin, held.dialogue, held.dial), None))
         return out
 
 
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -219,7 +219,7 @@
         self.told_closed: set[str] = set()
         self.refused_disk = ""
         self._early: deque[Callable[[], None]] = deque()
-        self._unsaid: deque[tuple[str, int, int, str, int, int]] = deque()
+        self._unsaid: deque[tuple[str, int, int, str, int, int, int]] = deque()
         self._again = 0
         self._tick: asyncio.TimerHandle | None = None
         self._closed = False
@@ -328,9 +328,9 @@
 
         self._event(work)
 
-    def over(self, side: str, origin: int, dialogue: int, how: str) -> None:
+    def over(self, side: str, origin: int, dialogue: int, how: str, dial: int = -1) -> None:
         """A dialogue that stood is over."""
-        what = (side, origin, dialogue, how, self.wall(), self._now())
+        what = (side, origin, dialogue, how, self.wall(), self._now(), dial)
 
         def work() -> None:
             # The end of a dialogue is not refused for want of room: it waits, else a crash would count the dialogue
@@ -851,7 +851,7 @@
         """End what stands, for its links go with the process, write what waits and close the store."""
         if self.book is not None:
             for held, _ in list(self.book.standing.values()):
-                self.over(held.side, held.origin, held.dialogue, "cut")
+                self.over(held.side, held.origin, held.dialogue, "cut", held.dial)
             self._put(self.book.alive(self.wall()))
         self._halt()
         self.keeper.close(closed)
--- a/wellhitch/ledger/entries.py
+++ b/wellhitch/ledger/entries.py
@@ -16,7 +16,8 @@
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """A dialogue got its one answer, as `side` saw it. `origin` and `dialogue` name it in the whole fleet; `number` is
-    the called number hashed under the key `number_key`."""
+    the called number hashed under the key `number_key`. `dial`: which dial of the end before asked here, -1 at the
+    origin; `onward`: which own dial stood, `via` the tandem it went by, both -1 where there is none."""
 
     side: str
     origin: int
@@ -31,6 +32,9 @@
     number_key: int = 0
     tags: tuple[str, ...] = ()
     hooks: str = ""
+    dial: int = -1
+    onward: int = -1
+    via: int = -1
 
 
 class Over(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -43,6 +47,7 @@
     how: str
     at: int
     stood: int
+    dial: int = -1
 
 
 class Lacking(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/wellhitch/ledger/settle.py
+++ b/wellhitch/ledger/settle.py
@@ -7,7 +7,9 @@
 1. What is billed belongs to the origin's tenant and use case; without the origin's word nothing is billed (`orphan`).
 2. Where the origin's answer is not `stands`, nothing is billed: the caller was never told that it stands.
 3. A dialogue that stood and is not over is `open` and billed later.
-4. Else the least that any end present saw it stand is billed. An end that answered it otherwise saw it stand for
+4. What an end says counts only of the dial that stood: the origin names it and the tandem it went by, the tandem its
+   own onward. Guards against a tandem that turned the first dial back, or lost its answer, while the second stood.
+   Else the least that any end present saw it stand is billed. An end that answered it otherwise saw it stand for
    nothing; an end of which no entry came counts for nothing, neither for the tenant nor against.
 5. Where several entries of one end differ (an instance that came back with an old disk), one that a restart guessed
    counts for nothing beside one that saw the end, and of the rest the least counts.
@@ -19,7 +21,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from wellhitch.ledger.entries import Answered, Corrected, Entry, Over
+from wellhitch.ledger.entries import Answered, Corrected, Entry, Over, encode
 
 SLACK = 2_000_000  # us that two ends' spans may differ without a word: a release that is sent, lost with its link and
 # taken for a cut is seen by the other end at its next heartbeat or set-up, within that
@@ -68,15 +70,30 @@
         self.overs |= other.overs
         self.corrections |= other.corrections
 
-    def _ends(self, side: str) -> list[Over]:
-        """The ends that one side saw; those that a restart guessed only where there is no other."""
-        overs = [one for one in self.overs if one.side == side]
+    def _ends(self, side: str, dial: int) -> list[Over]:
+        """The ends that one side saw of a dial; those that a restart guessed only where there is no other."""
+        overs = [one for one in self.overs if one.side == side and one.dial == dial]
         return [one for one in overs if one.how != "restart"] or overs
 
-    def _stood(self, side: str) -> int | None:
-        """How long one side saw it stand: None where it said nothing, -1 where it stands still."""
-        answers = [one for one in self.answers if one.side == side]
-        overs = self._ends(side)
+    def _spans(self, origin: Answered) -> dict[str, int | None]:
+        """How long each side saw the dial stand that the origin says stood."""
+        out = {"origin": self._stood("origin", -1)}
+        if origin.via < 0:
+            out["destination"] = self._stood("destination", origin.onward)
+            return out
+        out["tandem"] = self._stood("tandem", origin.onward)
+        tandems = [one for one in self.answers if one.side == "tandem" and one.dial == origin.onward]
+        onward = {one.onward for one in tandems if one.answer == "stands"}
+        if (
+            len(onward) == 1
+        ):  # without the tandem's word it is not known which dial of its reached the destination
+            out["destination"] = self._stood("destination", onward.pop())
+        return out
+
+    def _stood(self, side: str, dial: int) -> int | None:
+        """How long one side saw a dial stand: None where it said nothing, -1 where it stands still."""
+        answers = [one for one in self.answers if one.side == side and one.dial == dial]
+        overs = self._ends(side, dial)
         if any(one.answer != "stands" for one in answers):
             return 0
         if overs:
@@ -88,14 +105,14 @@
         # Two that differ: the lesser by all its fields, so that each end picks the same.
         origin = min(
             (one for one in self.answers if one.side == "origin"),
-            key=lambda one: (one.answer == "stands", one.at, one.tenant, one.use_case, one.tags, one.width),
+            key=lambda one: (one.answer == "stands", encode(one)),
             default=None,
         )
         if origin is None:
             return Settled(self.name, "orphan")
-        spans = {side: self._stood(side) for side in ("origin", "tandem", "destination")}
+        spans = self._spans(origin)
         change = sum(one.change for one in self.corrections)
-        ended = min((one.at for one in self._ends("origin")), default=origin.at)
+        ended = min((one.at for one in self._ends("origin", -1)), default=origin.at)
         billed, state, dispute = 0, "not_billed", ""
         if origin.answer == "stands":
             if spans["origin"] == -1:
@@ -107,7 +124,7 @@
             billed, state = min(seen.values()), "billed"
             if max(seen.values()) - billed > SLACK:
                 dispute = ", ".join(f"{side} {span}" for side, span in sorted(seen.items()))
-        elif any(span for side, span in spans.items() if side != "origin"):
+        elif any(one.stood > SLACK for one in self.overs if one.side != "origin"):
             dispute = f"origin {origin.answer}, though another end saw it stand"
         return Settled(
             self.name,
--- a/wellhitch/server/dials.py
+++ b/wellhitch/server/dials.py
@@ -80,6 +80,7 @@
     caller_id: int = 0
     home: OfficeEnd | None = None
     home_ref: int = 0
+    asked_dial: int = -1  # in transit: which dial of the origin's this is
     owed: bool = True
     tenant: str | None = None
     tags: tuple[str, ...] = ()
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -87,8 +87,8 @@
     def answered(self, seen: Seen, answer: str) -> None:
         """A dialogue got its answer."""
 
-    def over(self, side: str, origin: int, dialogue: int, how: str) -> None:
-        """A dialogue that stood is over, `released` or `cut`."""
+    def over(self, side: str, origin: int, dialogue: int, how: str, dial: int = -1) -> None:
+        """A dialogue that stood is over, `released` or `cut`; `dial` as it was asked for here."""
 
     def witnessed(self, seen: Seen, how: str, stood: int) -> None:
         """The own office told of one that ended in this exchange."""
@@ -347,6 +347,9 @@
 
     def _told_answer(self, taken: Taken, answer: str) -> None:
         if self.witness:
+            out = taken.active if answer == "stands" else None
+            onward = out.number if out else -1
+            via = out.office.number if out and out.office.number != taken.destination else -1
             seen = Seen(
                 _side(taken),
                 taken.origin,
@@ -358,12 +361,15 @@
                 taken.tenant,
                 taken.tags,
                 taken.version,
+                taken.asked_dial,
+                onward,
+                via,
             )
             self.witness.answered(seen, answer)
 
     def _told_over(self, taken: Taken, how: str) -> None:
         if self.witness:
-            self.witness.over(_side(taken), taken.origin, taken.origin_id, how)
+            self.witness.over(_side(taken), taken.origin, taken.origin_id, how, taken.asked_dial)
 
     def carried(self, office: str, frame: frames.Carried) -> None:
         """The own office tells of a dialogue that stood in this exchange and is over."""
@@ -378,6 +384,7 @@
                 self.number,
                 frame.called,
                 frame.width,
+                dial=frame.dial,
             )
             self.witness.witnessed(seen, frame.how, frame.stood)
 
@@ -629,7 +636,7 @@
             self.outlet.to_office(office, frames.PushBack(setup.ref, "turned_back"))
             return
         taken = self._take(setup, setup.origin, setup.dialogue, now)
-        taken.home, taken.home_ref = home, setup.ref
+        taken.home, taken.home_ref, taken.asked_dial = home, setup.ref, setup.dial
         home.transits[setup.ref] = taken
         self._arrived(taken, setup.left, False, -1, now)
 
--- a/wellhitch/stand_ins/office.py
+++ b/wellhitch/stand_ins/office.py
@@ -441,7 +441,14 @@
             setup, stood = leg.setup, self.now() - leg.stands_since
             self._onward(
                 frames.Carried(
-                    setup.origin, setup.dialogue, setup.use_case, setup.called, setup.width, how, stood
+                    setup.origin,
+                    setup.dialogue,
+                    setup.use_case,
+                    setup.called,
+                    setup.width,
+                    how,
+                    stood,
+                    setup.dial,
                 )
             )
 
--- a/wellhitch/trunk/frames.py
+++ b/wellhitch/trunk/frames.py
@@ -187,7 +187,7 @@
 
 class Carried(Frame, frozen=True):
     """Office to its own call server, for the ledger: a dialogue that stood in this exchange is over, `released` or
-    `cut`, after `stood`."""
+    `cut`, after `stood`; `dial` as its Setup said."""
 
     origin: int
     dialogue: int
@@ -196,6 +196,7 @@
     width: int
     how: str
     stood: int
+    dial: int = -1
 
 
 class Ledger(Frame, frozen=True):
