--- a/wellhitch/ledger/book.py
+++ b/wellhitch/ledger/book.py
@@ -112,17 +112,16 @@
             out.append(Change(ABOUT, about.to_bytes(4, "big") + key, body))
         return out
 
-    def answered(self, seen: Seen, answer: str, wall: int, now: int) -> list[Change]:
-        """A dialogue got its answer here."""
+    def _answered(self, seen: Seen, answer: str, at: int) -> Answered:
         number, number_key = self.keys.hashed(seen.called)
-        entry = Answered(
+        return Answered(
             seen.side,
             seen.origin,
             seen.dialogue,
             seen.use_case,
             seen.destination,
             answer,
-            wall,
+            at,
             seen.width,
             seen.tenant or "",
             number,
@@ -133,6 +132,10 @@
             seen.onward,
             seen.via,
         )
+
+    def answered(self, seen: Seen, answer: str, wall: int, now: int) -> list[Change]:
+        """A dialogue got its answer here."""
+        entry = self._answered(seen, answer, wall)
         out = self._row(entry, wall, seen.origin)
         if answer == "stands":
             key = standing_key(seen.side, seen.origin, seen.dialogue, seen.dial)
@@ -154,21 +157,7 @@
 
     def witnessed(self, seen: Seen, how: str, stood: int, wall: int) -> list[Change]:
         """The own office told of a dialogue that ended in this exchange and is over: both entries at once."""
-        number, number_key = self.keys.hashed(seen.called)
-        answer = Answered(
-            seen.side,
-            seen.origin,
-            seen.dialogue,
-            seen.use_case,
-            seen.destination,
-            "stands",
-            wall - stood,
-            seen.width,
-            "",
-            number,
-            number_key,
-            dial=seen.dial,
-        )
+        answer = self._answered(seen, "stands", wall - stood)
         over = Over(seen.side, seen.origin, seen.dialogue, how, wall, stood, seen.dial)
         return self._row(answer, wall, seen.origin) + self._row(over, wall, seen.origin)
 
