A frame that cannot be sent costs no other frame of its batch

Seen: a Ledger frame over 64 KiB, or a number over 64 bits, raised in Port._flush after up to 32 frames had left the outbox: 2 of 2 good frames beside it lost, answers among them, and nobody told. Ruled out: the decoder, which refuses such frames only once they are on the way. At fault: port.py _flush, which encoded the batch as a whole; codec.encode, which let OverflowError through. The frame alone is left out now and the loop's exception handler is told.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -126,3 +126,15 @@
     ends.net.heal("s", "o")
     ends.loop.advance(0.5)
     assert ends.office.down == ["reset"]
+
+
+@pytest.mark.parametrize("frame", [frames.Ledger(b"x" * 70_000), frames.Final(1 << 70, "stands")])
+def test_a_frame_that_cannot_be_sent_costs_no_other(ends: TwoEnds, frame: frames.Any) -> None:
+    said: list[str] = []
+    ends.loop.set_exception_handler(lambda loop, context: said.append(str(context.get("exception"))))
+    ends.a.send(frames.Release(1))
+    ends.a.send(frame)
+    ends.a.send(frames.Release(2))
+    ends.loop.advance(0.1)
+    assert [one.ref for one in ends.office.got if isinstance(one, frames.Release)] == [1, 2]
+    assert len(said) == 1 and type(frame).__name__ in said[0]
--- a/wellhitch/emulator/party.py
+++ b/wellhitch/emulator/party.py
@@ -38,6 +38,10 @@
         handle.inner = self._loop.call_later(delay, self._run, callback, args, handle)
         return handle
 
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """As asyncio's."""
+        self._loop.call_exception_handler(context)
+
     def _run(self, callback: Callable[..., object], args: tuple[Any, ...], handle: "_Handle") -> None:
         if self.gone or handle.cancelled:
             return
--- a/wellhitch/trunk/codec.py
+++ b/wellhitch/trunk/codec.py
@@ -25,9 +25,12 @@
 
 
 def encode(frame: frames.Any) -> bytes:
-    """One frame as bytes. Raises BadFrame where it is over MAX_FRAME: nothing that the other end must refuse
-    is ever sent."""
-    body = _encoder.encode(frame)
+    """One frame as bytes. Raises BadFrame where it is over MAX_FRAME, or holds what msgpack has no form for, such
+    as a number of more than 64 bits: nothing that the other end must refuse is ever sent."""
+    try:
+        body = _encoder.encode(frame)
+    except (OverflowError, ValueError, TypeError) as fault:
+        raise BadFrame(f"{type(frame).__name__}: {fault}") from None
     if len(body) > MAX_FRAME:
         raise BadFrame(f"{type(frame).__name__} of {len(body)} bytes, over {MAX_FRAME}")
     return bytes((VERSION,)) + len(body).to_bytes(3, "big") + body
--- a/wellhitch/trunk/port.py
+++ b/wellhitch/trunk/port.py
@@ -112,10 +112,19 @@
                 return
             # In pieces, so that the transport can say stop between them and what is left can be withdrawn.
             batch = [self._outbox.popleft() for _ in range(min(len(self._outbox), 32))]
-            self.transport.write(b"".join([codec.encode(frame) for frame in batch]))
-            if self.tap:
-                for frame in batch:
-                    self.tap("out", self, frame)
+            self.transport.write(b"".join([self._encoded(frame) for frame in batch]))
+
+    def _encoded(self, frame: frames.Any) -> bytes:
+        """A frame's bytes, shown to the tap. Guards against one that cannot be sent: it took the others of its batch
+        along, answers among them, and nobody was told."""
+        try:
+            made = codec.encode(frame)
+        except codec.BadFrame as fault:
+            self.loop.call_exception_handler({"message": "a frame was not sent", "exception": fault})
+            return b""
+        if self.tap:
+            self.tap("out", self, frame)
+        return made
 
     def fail(self, text: str, tell: bool = True) -> None:
         """Close the link, telling the other end why where `tell`."""
