A link that never says Hello is closed after the silence limit, whatever it drips

Seen: an end that sent one byte of its Hello a second kept its link open for as long as it liked, each with its buffers and a descriptor. Ruled out: Decoder, which is bounded. At fault: Link.silent, for which any byte was a sign of life. The test failed before: open after 9 s; closed after 4 s now, and told why.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,10 +1,14 @@
 """Links under fire: ports on the emulated network."""
 
+import asyncio
+from typing import cast
+
 import pytest
-from world import TwoEnds
+from world import Hand, TwoEnds
 
 from wellhitch.trunk import frames
-from wellhitch.trunk.port import FRAMES_PER_S, MAX_UNSENT
+from wellhitch.trunk.codec import encode
+from wellhitch.trunk.port import FRAMES_PER_S, MAX_UNSENT, Port
 
 
 @pytest.fixture
@@ -138,3 +142,29 @@
     ends.loop.advance(0.1)
     assert [one.ref for one in ends.office.got if isinstance(one, frames.Release)] == [1, 2]
     assert len(said) == 1 and type(frame).__name__ in said[0]
+
+
+def test_one_that_never_says_who_it_is_is_closed_whatever_it_drips(ends: TwoEnds) -> None:
+    """A byte now and then is a sign of life, but of nobody: a thousand such links would stay for ever."""
+    closed: list[str] = []
+    hello = frames.Hello("call_server", 0, 1)
+    port = Port(ends.loop, Hand(), hello, ("caller",), down=closed.append)
+    ends.net.at("s").listen("s:9", lambda: port, lambda listener: None)
+
+    class Dripping(asyncio.BufferedProtocol):
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            self.transport = cast(asyncio.Transport, transport)
+
+        def get_buffer(self, sizehint: int) -> bytearray:
+            return bytearray(1024)
+
+        def buffer_updated(self, nbytes: int) -> None:
+            pass
+
+    dripping = Dripping()
+    ends.loop.advance(0.1)
+    ends.net.at("d").connect("s:9", lambda: dripping, closed.append)
+    for byte in encode(frames.Hello("caller", 1, 1))[:9]:
+        ends.loop.advance(1.0)
+        dripping.transport.write(bytes((byte,)))
+    assert closed and closed[0].startswith("no Hello")
--- a/wellhitch/trunk/link.py
+++ b/wellhitch/trunk/link.py
@@ -67,7 +67,7 @@
         self.role, self.takes = role, takes
         self.state = State.WAITING
         self.peer: frames.Hello | None = None
-        self.heard_at = now
+        self.heard_at = self.began = now
         self._decoder = codec.Decoder()
         self._may: tuple[type, ...] = _ALWAYS
 
@@ -111,7 +111,10 @@
         return "", False
 
     def silent(self, now: int) -> bool:
-        """Whether the other end has been silent for too long: half-open, paused or dead."""
+        """Whether the other end has been silent for too long: half-open, paused or dead. Until it has said who it is,
+        nothing but its Hello counts: one that drips a byte now and then would hold its link for ever."""
+        if self.state is State.WAITING:
+            return now - self.began > SILENCE
         return self.state is not State.CLOSED and now - self.heard_at > SILENCE
 
     def closed(self) -> None:
--- a/wellhitch/trunk/port.py
+++ b/wellhitch/trunk/port.py
@@ -9,7 +9,7 @@
 
 from wellhitch.net.seam import Network, now_us
 from wellhitch.trunk import codec, frames
-from wellhitch.trunk.link import HEARTBEAT, Link, LinkFault, State
+from wellhitch.trunk.link import HEARTBEAT, SILENCE, Link, LinkFault, State
 from wellhitch.trunk.redial import Redial
 
 READ_BUFFER = 16 * 1024  # bytes; some 300 frames a read
@@ -155,7 +155,7 @@
             # Nothing waits out of our reach but what the kernel holds: what waits here can be withdrawn.
             with contextlib.suppress(NotImplementedError):  # the emulated transport has limits of its own
                 self.transport.set_write_buffer_limits(high=0)
-        self.link.heard_at = now_us(self.loop)
+        self.link.heard_at = self.link.began = now_us(self.loop)
         self.send(self.hello)
         self._beat = self.loop.call_later(HEARTBEAT / 1e6, self._heartbeat)
 
@@ -239,7 +239,8 @@
         if self.link.silent(now_us(self.loop)):
             # Half-open, or the other end reads and says nothing: the same to us. Nothing is told, for nobody
             # would read it.
-            self.fail("silent", tell=False)
+            dripped = self.link.state is State.WAITING and self.link.heard_at > self.link.began
+            self.fail(f"no Hello within {SILENCE} us" if dripped else "silent", tell=dripped)
             return
         self._beat = self.loop.call_later(HEARTBEAT / 1e6, self._heartbeat)
         self.send(frames.Heartbeat(self.owner.link_held(self)))
