A call server takes 500 links at most from callers and peers; one more is told and closed

Seen: 520 callers' links all taken; at the process's limit of descriptors its own links to offices could not be opened again, nor the ledger's files. Ruled out: asyncio's accept, which only pauses a second at that limit. At fault: Daemon._port, which bounded nothing. The test failed before: 520 stood; 500 stand now and 20 are told why.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,8 +4,13 @@
 from typing import cast
 
 import pytest
-from world import Hand, TwoEnds
+from world import Hand, TwoEnds, day
 
+from wellhitch.emulator.loop import VirtualLoop
+from wellhitch.emulator.network import EmulatedNetwork
+from wellhitch.lab.fleet import HostAddresses, sheet_of
+from wellhitch.server.daemon import MOST_LINKS, Daemon, Doors
+from wellhitch.settings.sheet import opened
 from wellhitch.trunk import frames
 from wellhitch.trunk.codec import encode
 from wellhitch.trunk.port import FRAMES_PER_S, MAX_UNSENT, Port
@@ -168,3 +173,24 @@
         ends.loop.advance(1.0)
         dripping.transport.write(bytes((byte,)))
     assert closed and closed[0].startswith("no Hello")
+
+
+def test_links_over_the_limit_are_told_and_closed_and_those_that_stand_go_on() -> None:
+    loop = VirtualLoop()
+    net = EmulatedNetwork(loop, 1)
+    doors = Doors("s:1", "", "", "r:1", "")
+    daemon = Daemon(loop, net.at("s"), opened(sheet_of(day(), 0, HostAddresses())), doors, 10, 1, lambda event, **facts: None)
+    daemon.start()
+    loop.advance(0.1)
+    hands = [Hand() for _ in range(MOST_LINKS + 20)]
+    for at, hand in enumerate(hands):
+        hello = frames.Hello("caller", at, 1)
+        net.at("c").connect(
+            "s:1",
+            lambda hand=hand, hello=hello: Port(loop, hand, hello, ("call_server",), down=hand.down.append),
+            print,
+        )
+    loop.advance(1.0)
+    assert len(daemon.ports) == MOST_LINKS
+    assert sum(bool(hand.down) for hand in hands) == 20
+    assert all("links" in hand.down[0] for hand in hands if hand.down)
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -23,6 +23,8 @@
 from wellhitch.trunk.port import KeptLink, Port
 
 MAX_LINE = 200  # bytes of an operator's request; every command is far shorter
+MOST_LINKS = 500  # from callers and peers together: half of the 1,024 descriptors that a process has by default; the
+# others are for its own links to offices, guides and peers, and for files
 STOP_EVERY = 0.02  # s between looks at what is still owed while stopping
 
 
@@ -134,7 +136,12 @@
     def _port(self, owner: Any, takes: tuple[str, ...]) -> Port:
         port: Port
         port = Port(self.loop, owner, self.hello, takes, down=lambda why: self.ports.pop(port, None))
-        self.ports[port] = None
+        if len(self.ports) >= MOST_LINKS:
+            # Guards the links that stand, and those that this call server itself must open, against one too many.
+            port.refusal = f"{MOST_LINKS} links stand here already"
+            self.switch.counts["links_refused"] += 1
+        else:
+            self.ports[port] = None
         return port
 
     def _listen(self, what: str, address: str, factory: Callable[[], asyncio.BufferedProtocol]) -> None:
--- a/wellhitch/trunk/port.py
+++ b/wellhitch/trunk/port.py
@@ -53,6 +53,7 @@
         self.link = Link(hello.role, takes, now_us(loop))
         self.transport: asyncio.Transport | None = None
         self.stuck = False  # the transport takes no more for now
+        self.refusal = ""  # why the link is closed as soon as it stands
         self.rate_pauses = 0
         self._down = down
         self._outbox: deque[frames.Any] = deque()
@@ -156,6 +157,9 @@
             with contextlib.suppress(NotImplementedError):  # the emulated transport has limits of its own
                 self.transport.set_write_buffer_limits(high=0)
         self.link.heard_at = self.link.began = now_us(self.loop)
+        if self.refusal:
+            self.fail(self.refusal)
+            return
         self.send(self.hello)
         self._beat = self.loop.call_later(HEARTBEAT / 1e6, self._heartbeat)
 
