Loopback is told by the address; every failed connect and listen ends in a word

Seen: 127.evil.example and 127.0.0.1.evil.example passed as loopback, in sheets and from the register's list, and would have been looked up; a label over 63 characters raised UnicodeError in a task, so that the link was never tried again; with the operators' door in use the daemon ran on without it. Ruled out: split, which names the address. At fault: seam.py _loopback, connect and listen; sheet.py check; serve.py trouble, which looked only whether any door was open.

--- /dev/null
+++ b/tests/test_seam.py
@@ -0,0 +1,52 @@
+"""The seam to the network: only loopback, and every try ends in a link or a word."""
+
+import asyncio
+
+import pytest
+
+from wellhitch.net.seam import LoopbackNetwork, is_loopback, split
+
+
+@pytest.mark.parametrize("host", ["localhost", "::1", "127.0.0.1", "127.8.9.10"])
+def test_loopback_is_told_by_the_address(host: str) -> None:
+    assert is_loopback(host)
+
+
+@pytest.mark.parametrize("host", ["127.evil.example", "127.0.0.1.evil.example", "127.", "10.0.0.1", "", "::", "127.1"])
+def test_a_name_that_only_begins_like_loopback_is_none(host: str) -> None:
+    assert not is_loopback(host)
+
+
+@pytest.mark.parametrize("port", ["²", "", "65536", "-1", "9" * 5000])
+def test_a_port_is_a_number(port: str) -> None:
+    with pytest.raises(ValueError, match="host:port"):
+        split(f"127.0.0.1:{port}")
+
+
+@pytest.mark.parametrize("address", ["127." + "x" * 70 + ":7000", "127.0.0.1:²", "127.evil.example:7000", "nowhere"])
+def test_an_address_that_cannot_be_one_ends_in_a_word(address: str) -> None:
+    async def tried() -> str:
+        loop = asyncio.get_running_loop()
+        word: asyncio.Future[str] = loop.create_future()
+        LoopbackNetwork(loop).connect(address, asyncio.BufferedProtocol, word.set_result)
+        return await asyncio.wait_for(word, 30)
+
+    assert asyncio.run(tried())
+
+
+def test_an_address_in_use_is_told_to_who_listens() -> None:
+    async def tried() -> list[dict[str, object]]:
+        loop, said = asyncio.get_running_loop(), list[dict[str, object]]()
+        loop.set_exception_handler(lambda loop, context: said.append(context))
+        server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        LoopbackNetwork(loop).listen(f"127.0.0.1:{port}", asyncio.BufferedProtocol, lambda listener: None)
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            if said:
+                break
+        server.close()
+        return said
+
+    [said] = asyncio.run(tried())
+    assert isinstance(said["exception"], OSError) and "listen" in str(said["message"])
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -69,6 +69,7 @@
         ({"doors": {**DOORS, "register": ""}}, "doors.register"),
         ({"doors": {**DOORS, "callers": "10.0.0.1:70"}}, "a loopback address"),
         ({"doors": {**DOORS, "callers": "127.0.0.1:99999"}}, "not host:port"),
+        ({"doors": {**DOORS, "callers": "127.evil.example:7000"}}, "a loopback address"),
     ],
 )
 def test_what_holds_between_fields_is_checked(change: dict[str, Any], said_so: str) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -115,6 +115,22 @@
     assert b"address already in use" in done.stderr.lower()
 
 
+def test_one_door_in_use_is_one_clear_error_too(
+    served: tuple[subprocess.Popen[bytes], Path, LoopbackAddresses], tmp_path: Path
+) -> None:
+    """It ran on without its operators' door, and nobody could ask it anything."""
+    sheet = json.loads((tmp_path / "x.jsonnet").read_bytes())
+    sheet["doors"] |= {"callers": "127.0.0.1:0", "peers": ""}
+    (tmp_path / "y.jsonnet").write_text(json.dumps(sheet))
+    done = subprocess.run(
+        [sys.executable, "-m", "wellhitch", "serve", str(tmp_path / "y.jsonnet")],
+        capture_output=True,
+        timeout=PATIENCE_S,
+    )
+    assert done.returncode == 2 and b"Traceback" not in done.stderr
+    assert f"cannot listen at {sheet['doors']['operators']}".encode() in done.stderr
+
+
 def test_damaged_hook_state_is_dropped_with_a_word_and_written_anew_at_the_end(tmp_path: Path) -> None:
     addresses = LoopbackAddresses()
     texts = {"a": 'on tick { remember("ticks", recall("ticks", 0) + 1, 1h) }'}
--- a/wellhitch/cli/serve.py
+++ b/wellhitch/cli/serve.py
@@ -140,8 +140,8 @@
     def trouble(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         fault = context.get("exception")
         logger.error("fault", message=context.get("message"), fault=repr(fault))
-        if isinstance(fault, OSError) and not daemon.listeners and not over.done():
-            over.set_result(2)  # cannot listen at all: an address in use, say
+        if "address" in context and not over.done():
+            over.set_result(2)  # cannot listen at one of its doors: an address in use, say
 
     d = sheet.doors
     # A mark that is new with each start: the process id and the loop's clock, which nothing else reads.
--- a/wellhitch/net/seam.py
+++ b/wellhitch/net/seam.py
@@ -1,6 +1,7 @@
 """Transports are opened through `Network` and nothing else; time is the running loop's, in whole microseconds."""
 
 import asyncio
+import ipaddress
 from collections.abc import Callable
 from typing import Protocol
 
@@ -34,11 +35,22 @@
 def split(address: str) -> tuple[str, int]:
     """Host and port of `host:port`. Raises ValueError naming the address."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"address {address!r} is not host:port")
+    if not (host and port.isascii() and port.isdigit() and len(port) <= 5 and int(port) <= 65535):
+        raise ValueError(f"address {address[:80]!r} is not host:port")
     return host, int(port)
 
 
+def is_loopback(host: str) -> bool:
+    """Whether a host is this machine and nothing else. Guards against names: one that begins with `127.` is looked up,
+    and may be anywhere."""
+    if host == "localhost":
+        return True
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
 class _Listening:
     def __init__(self, server: asyncio.Server, host: str) -> None:
         self._server = server
@@ -63,11 +75,17 @@
         task.add_done_callback(self._tasks.discard)
 
     def listen(self, address: str, factory: Factory, ready: Callable[[Listener], None]) -> None:
-        """As `Network.listen`; an address in use raises OSError in the loop's exception handler."""
+        """As `Network.listen`; where it cannot listen the loop's exception handler is told, with the `address`."""
         host, port = _loopback(address)
 
         async def work() -> None:
-            server = await self._loop.create_server(factory, host, port)
+            try:
+                server = await self._loop.create_server(factory, host, port)
+            except OSError as fault:
+                self._loop.call_exception_handler(
+                    {"message": f"cannot listen at {address}", "exception": fault, "address": address}
+                )
+                return
             ready(_Listening(server, host))
 
         self._spawn(work())
@@ -84,7 +102,8 @@
             try:
                 async with asyncio.timeout(self.CONNECT_TIMEOUT_S):
                     await self._loop.create_connection(factory, host, port)
-            except (OSError, TimeoutError) as fault:
+            except (OSError, TimeoutError, ValueError) as fault:
+                # ValueError: a name that cannot be looked up at all; without a word nobody would try again.
                 failed(str(fault) or "timed out")
 
         self._spawn(work())
@@ -92,6 +111,6 @@
 
 def _loopback(address: str) -> tuple[str, int]:
     host, port = split(address)
-    if not (host == "localhost" or host == "::1" or host.startswith("127.")):
-        raise ValueError(f"address {address!r} is not loopback")
+    if not is_loopback(host):
+        raise ValueError(f"address {address[:80]!r} is not loopback")
     return host, port
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from wellhitch.interface import events, facts
-from wellhitch.net.seam import split
+from wellhitch.net.seam import is_loopback, split
 from wellhitch.settings.checked import Faults
 
 Span = Annotated[
@@ -130,7 +130,7 @@
         except ValueError as fault:
             lines.append(f"doors.{name} = {address!r}: {fault}")
             continue
-        if not (host in ("localhost", "::1") or host.startswith("127.")):
+        if not is_loopback(host):
             lines.append(f"doors.{name} = {address!r}: a loopback address, such as 127.0.0.1:7000")
     if lines:
         raise Faults(where, lines)
