Figures of a call or a transit outside their range are turned away; no time is without end

Seen: a Call with left = 2^62 to an office that answers nothing held its place and circuits for ever; widths of 2^60 and destinations under nought reached the decisions, where a negative one reads from the end of what is told of tandems; a transit with origin -1 raised OverflowError in the ledger and cost the own office's link. Ruled out: msgpack's types, which let through any 64 bits. At fault: Switch._call_fault, _arrived and transit.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -5,6 +5,7 @@
 from heapq import heappop, heappush
 from typing import Any
 
+import msgspec
 import pytest
 from conftest import CHEAP, DEAR, SECOND
 
@@ -367,7 +368,7 @@
     bench.switch.call("link", frames.Call(4, "cheap", 1, None, 0), 0)
     bench.switch.call("link", frames.Call(5, "cheap", 1, "9" * 65, SECOND), 0)
     assert bench.finals == ["pushed_back"] * 3 and not bench.switch.taken
-    for why in ("unknown_use_case", "no_time_or_width", "text_too_long"):
+    for why in ("unknown_use_case", "no_time", "width", "text_too_long"):
         assert bench.switch.counts[f"turned_away.{why}"] == 1
 
 
@@ -409,3 +410,39 @@
     assert set(LEGAL) == set(Step) and LEGAL[Step.FREE] == ()
     with pytest.raises(RuntimeError, match="FREE to OUT"):
         DialOut(Taken(1, "", 0, None, 1, 0, 0), 0, None, None, 0, 0, Step.FREE).move(Step.OUT)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        ({"width": 65}, "width"),
+        ({"width": 1 << 60}, "width"),
+        ({"destination": -5}, "destination"),
+        ({"destination": 1 << 63}, "destination"),
+    ],
+)
+def test_figures_of_a_call_outside_their_range_are_turned_away(
+    bench: Bench, change: dict[str, int], why: str
+) -> None:
+    bench.call(**change)
+    assert bench.finals == ["pushed_back"] and not bench.switch.taken
+    assert bench.switch.counts[f"turned_away.{why}"] == 1
+
+
+def test_a_time_without_end_holds_a_place_no_longer_than_the_outer_limit(bench: Bench) -> None:
+    """The office answers nothing; the dialogue and its circuits were held for ever."""
+    bench.dial(left=1 << 62)
+    bench.run(CHEAP.outer_limit + SECOND)
+    assert bench.finals == ["forfeited"] and not bench.switch.taken and bench.free() == 10
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"origin": -1}, {"origin": 1 << 16}, {"dialogue": -1}, {"destination": -1}, {"width": 65}, {"dial": -1}],
+)
+def test_a_transit_with_figures_outside_their_range_is_turned_back(
+    bench: Bench, change: dict[str, int]
+) -> None:
+    setup = frames.Setup(9, 2, 77, 0, "cheap", 1, "aa", SECOND, 1)
+    bench.switch.transit("o0", msgspec.structs.replace(setup, **change), 0)
+    assert [frame.ref for frame in bench.of(frames.PushBack)] == [9] and not bench.switch.taken
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -119,7 +119,7 @@
         self._feeding = False
         self._untold: set[int] = set()
         self._tell_timer: Timer | None = None
-        self._use_cases = {use.name for use in opened.use_cases}
+        self._outer_limits = {use.name: use.outer_limit for use in opened.use_cases}
 
     # ---- the decisions ----
 
@@ -247,10 +247,14 @@
             return "stopping"
         if len(self.taken) >= self.max_open:
             return "max_open"
-        if call.use_case not in self._use_cases:
+        if call.use_case not in self._outer_limits:
             return "unknown_use_case"
-        if call.width < 1 or call.left <= 0:
-            return "no_time_or_width"
+        if call.left <= 0:
+            return "no_time"
+        if not 1 <= call.width <= frames.MOST_WIDTH:
+            return "width"
+        if not 0 <= call.destination < frames.NUMBERS:
+            return "destination"  # under nought it would be counted from the end of what is told of tandems
         return "" if _short(call.called) and _short(call.tenant) else "text_too_long"
 
     def _take(self, call: frames.Call | frames.Setup, origin: int, origin_id: int, now: int) -> Taken:
@@ -265,6 +269,9 @@
     def _arrived(
         self, taken: Taken, left: int, redialled: bool, advised: int, now: int, favour: float = 1.0
     ) -> None:
+        # Guards against a time without end, in which a dialogue would hold its place and circuits for ever: past the
+        # outer limit it is worth nothing to anybody.
+        left = min(left, self._outer_limits[taken.use_case])
         taken.came, taken.until = now, now + left
         self._feed(
             ev.Arrived(
@@ -375,7 +382,7 @@
         """The own office tells of a dialogue that stood in this exchange and is over."""
         if self.offices[office].number != self.number or frame.how not in ("released", "cut"):
             self.counts["strays.Carried"] += 1
-        elif self.witness and 0 <= frame.origin < 1 << 16 and 0 <= frame.stood < 1 << 53:
+        elif self.witness and 0 <= frame.origin < frames.NUMBERS and 0 <= frame.stood < 1 << 53:
             seen = Seen(
                 "destination",
                 frame.origin,
@@ -629,9 +636,8 @@
     def transit(self, office: str, setup: frames.Setup, now: int) -> None:
         """The own office hands over a dialogue in transit."""
         home = self.offices[office]
-        wrong = setup.ref in home.transits or setup.use_case not in self._use_cases
-        wrong = wrong or not _short(setup.called)
-        if wrong or home.number != self.number or len(self.taken) >= self.max_open or setup.width < 1:
+        wrong = setup.ref in home.transits or home.number != self.number or len(self.taken) >= self.max_open
+        if wrong or self._setup_fault(setup):
             self.counts["turned_away.transit"] += 1
             self.outlet.to_office(office, frames.PushBack(setup.ref, "turned_back"))
             return
@@ -640,6 +646,17 @@
         home.transits[setup.ref] = taken
         self._arrived(taken, setup.left, False, -1, now)
 
+    def _setup_fault(self, setup: frames.Setup) -> bool:
+        """Whether a figure is outside its range. Guards the ledger too, whose keys have so many bytes and no sign."""
+        ranges = (
+            0 <= setup.origin < frames.NUMBERS
+            and 0 <= setup.destination < frames.NUMBERS
+            and 0 <= setup.dialogue < 1 << 63
+            and 0 <= setup.dial < 1 << 16
+            and 1 <= setup.width <= frames.MOST_WIDTH
+        )
+        return not ranges or setup.use_case not in self._outer_limits or not _short(setup.called)
+
     def transit_over(self, office: str, ref: int, now: int) -> None:
         """The own office ends a dialogue in transit: cancelled or released from upstream."""
         taken = self.offices[office].transits.get(ref)
@@ -679,7 +696,7 @@
 
     def group_told(self, office: str, frame: frames.GroupState, now: int) -> None:
         """The own office tells what comes in over a group, and the group's size."""
-        if self.offices[office].number != self.number or not 0 <= frame.number < 1 << 16:
+        if self.offices[office].number != self.number or not 0 <= frame.number < frames.NUMBERS:
             self.counts["strays.GroupState"] += 1
             return
         group = self.groups.get(frame.number)
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -9,6 +9,7 @@
 from wellhitch.interface import events, facts
 from wellhitch.net.seam import is_loopback, split
 from wellhitch.settings.checked import Faults
+from wellhitch.trunk.frames import MOST_WIDTH, NUMBERS
 
 Span = Annotated[
     str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+)?(us|ms|s)$", description="such as 250ms or 1.5s")
@@ -36,7 +37,7 @@
     agreed_time: Span
     outer_limit: Span
     late_share: Share = 0.0
-    width: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1
+    width: Annotated[int, msgspec.Meta(ge=1, le=MOST_WIDTH)] = 1
     hold: Span = "10s"
     repeatable: bool = True
     repeat_within: Span = "0s"
@@ -93,7 +94,7 @@
     """All of one call server. `hooks`: files of the hooks' language by name, their order by name the standing.
     `hooks_state`: a file for what they remember, relative to the sheet's; empty: it is lost with the process."""
 
-    number: Annotated[int, msgspec.Meta(ge=0, lt=65536)]
+    number: Annotated[int, msgspec.Meta(ge=0, lt=NUMBERS)]
     seed: Count
     peers: Count
     use_cases: list[UseCaseLine]
--- a/wellhitch/trunk/frames.py
+++ b/wellhitch/trunk/frames.py
@@ -7,6 +7,10 @@
 import msgspec
 
 
+NUMBERS = 1 << 16  # exchanges are numbered below it, as sheets say
+MOST_WIDTH = 64  # circuits of one dialogue, as sheets say
+
+
 class Frame(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of all frames: a msgpack array, its type's name first."""
 
