A ledger that raises costs no dialogue and no link

Seen: an exception in the ledger at an answer, an end or the office's word left Switch._answer half done and closed the link that the frame had come on. Ruled out: the decisions, which _rescue guards. At fault: _told_answer, _told_over and carried, which called the ledger bare. The test failed before with OverflowError; the dialogue goes on now and the fault is counted and logged.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -446,3 +446,25 @@
     setup = frames.Setup(9, 2, 77, 0, "cheap", 1, "aa", SECOND, 1)
     bench.switch.transit("o0", msgspec.structs.replace(setup, **change), 0)
     assert [frame.ref for frame in bench.of(frames.PushBack)] == [9] and not bench.switch.taken
+
+
+class Raising:
+    """A ledger that fails at every word."""
+
+    def answered(self, seen: Any, answer: str) -> None:
+        raise OverflowError("int too big to convert")
+
+    def over(self, side: str, origin: int, dialogue: int, how: str, dial: int = -1) -> None:
+        raise OverflowError("int too big to convert")
+
+    def witnessed(self, seen: Any, how: str, stood: int) -> None:
+        raise OverflowError("int too big to convert")
+
+
+def test_a_ledger_that_raises_costs_no_dialogue(bench: Bench) -> None:
+    bench.switch.witness = Raising()
+    bench.stand()
+    bench.switch.leave("link", 1, bench.out.now)
+    bench.switch.carried("o0", frames.Carried(2, 7, "cheap", None, 1, "released", 5))
+    assert bench.finals == ["stands"] and len(bench.of(frames.Release)) == 1 and not bench.switch.taken
+    assert bench.switch.counts["ledger_faults"] == 3 and bench.out.said.count("ledger_fault") == 3
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -352,6 +352,15 @@
                 self._end_dial(dial, frames.Cancel(dial.ref), now)
             self._forget(taken)
 
+    def _witness(self, tell: Callable[..., None], *what: Any) -> None:
+        """Tell the ledger. Guards against one that raises: it took the link along on which the frame had come, with
+        every dialogue on it."""
+        try:
+            tell(*what)
+        except Exception as fault:
+            self.counts["ledger_faults"] += 1
+            self.outlet.log("ledger_fault", fault=f"{type(fault).__name__}: {fault}", told=repr(what))
+
     def _told_answer(self, taken: Taken, answer: str) -> None:
         if self.witness:
             out = taken.active if answer == "stands" else None
@@ -372,11 +381,12 @@
                 onward,
                 via,
             )
-            self.witness.answered(seen, answer)
+            self._witness(self.witness.answered, seen, answer)
 
     def _told_over(self, taken: Taken, how: str) -> None:
         if self.witness:
-            self.witness.over(_side(taken), taken.origin, taken.origin_id, how, taken.asked_dial)
+            side, dial = _side(taken), taken.asked_dial
+            self._witness(self.witness.over, side, taken.origin, taken.origin_id, how, dial)
 
     def carried(self, office: str, frame: frames.Carried) -> None:
         """The own office tells of a dialogue that stood in this exchange and is over."""
@@ -393,7 +403,7 @@
                 frame.width,
                 dial=frame.dial,
             )
-            self.witness.witnessed(seen, frame.how, frame.stood)
+            self._witness(self.witness.witnessed, seen, frame.how, frame.stood)
 
     def _forget(self, taken: Taken) -> None:
         self.taken.pop(taken.id, None)
