A start told to lie in the future is taken for one just now

Seen: an age under nought made an office start ahead of the clock: cold for as long as it said, and with a warm-up of nought a division by nought at each decision about it. Ruled out: the register stand-in, which never says so. At fault: Switch._listed_line and _less_usable. The test failed before.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -468,3 +468,9 @@
     bench.switch.carried("o0", frames.Carried(2, 7, "cheap", None, 1, "released", 5))
     assert bench.finals == ["stands"] and len(bench.of(frames.Release)) == 1 and not bench.switch.taken
     assert bench.switch.counts["ledger_faults"] == 3 and bench.out.said.count("ledger_fault") == 3
+
+
+def test_an_age_under_nought_is_a_start_just_now(bench: Bench) -> None:
+    lines = [frames.ListLine("o1", 1, "ready", -(10**9), "o1:1")]
+    bench.switch.listed(frames.List("changes", 2, lines), 5)
+    assert bench.switch.exchange.offices["o1"].started == 5
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -858,12 +858,12 @@
         end = self.offices.get(line.office)
         if end is None or end.standing is not ev.Standing.READY or line.standing == "ready":
             return False
-        started = None if line.age is None else now - line.age
+        started = None if line.age is None else now - max(0, line.age)  # none starts in the future
         return end.started is None or (started is not None and started >= end.started - STARTED_SLACK)
 
     def _listed_line(self, line: frames.ListLine, now: int) -> None:
         standing = STANDINGS[line.standing]
-        started = None if line.age is None else now - line.age
+        started = None if line.age is None else now - max(0, line.age)  # none starts in the future
         end = self.offices.get(line.office)
         if end is None:
             self.offices[line.office] = OfficeEnd(line.office, line.number, line.address, standing, started)
