A load that is no figure is not told to the decisions

Seen: utilisation NaN beside 'processor full' gave a load of NaN, and max(0.0, NaN) a price of nought: the full office drew all. Infinite and negative figures moved prices the wrong way. Ruled out: the frames' codec, whose types allow NaN. At fault: dials.load_of.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -474,3 +474,12 @@
     lines = [frames.ListLine("o1", 1, "ready", -(10**9), "o1:1")]
     bench.switch.listed(frames.List("changes", 2, lines), 5)
     assert bench.switch.exchange.offices["o1"].started == 5
+
+
+@pytest.mark.parametrize("figure", [float("nan"), float("inf"), -1.0])
+def test_a_load_that_is_no_figure_is_not_told(bench: Bench, figure: float) -> None:
+    """NaN beside 'full' made the price nought: the office that was full drew all."""
+    office = bench.switch.exchange.offices["o1"]
+    office.price = 0.5
+    bench.switch.load_told("o1", frames.LoadReport(frames.Load(figure, -1, figure, figure)), 0)
+    assert office.utilisation is None and office.wait is None
--- a/wellhitch/server/dials.py
+++ b/wellhitch/server/dials.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from math import inf
 from typing import Protocol
 
 from wellhitch.interface.events import Blame, Ending, Standing
@@ -151,7 +152,11 @@
 
 
 def load_of(load: frames.Load | None) -> tuple[float | None, int | None, float | None, float | None]:
-    """A load report's figures, None where not told."""
+    """A load report's figures, None where not told. Guards against what is no figure, or under nought: NaN is neither
+    over a bound nor under it, and made a price nought even beside 'full'."""
     if load is None:
         return None, None, None, None
-    return load.utilisation, load.wait, load.takes_per_s, load.hold_back
+    shares = (load.utilisation, load.takes_per_s, load.hold_back)
+    utilisation, takes, hold_back = (one if one is None or 0 <= one < inf else None for one in shares)
+    wait = load.wait if load.wait is not None and 0 <= load.wait < 1 << 53 else None
+    return utilisation, wait, takes, hold_back
