--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -337,7 +337,7 @@
     x.usual_delay += (event.took - x.usual_delay) // 16
     dialogue.called.pause, dialogue.called.first_try = 0, None
     if not dial.direct:
-        pass
+        dial.office.way_on.add(dialogue.destination)
 
 
 def dial_ended(x: Exchange, event: ev.DialEnded, now: int) -> list[Action]:
