One who asks at the operators' door is answered in time, whatever he asks

Seen: a request over 200 bytes was cut and carried out as it stood, though who and why of a correction may have 400 characters; canary with a superscript two, and a correction of 150 digits, raised and closed the line without a word; one who said nothing, or sent a byte a second, kept his line for ever. On the emulated network what came after a close was still delivered, for ever where the buffer was full. Ruled out: msgspec, shlex. At fault: daemon.py _Operator and hooks_asked, desk.py asked, network.py Pipe._deliver.

--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -240,6 +240,9 @@
 def test_operators_words_are_checked() -> None:
     one = OneDesk()
     assert "whole microseconds" in _refused(one, "correct 3/1 x ana reason")
+    assert "15 digits" in _refused(one, f"correct 3/1 {'9' * 150} ana reason")
+    assert "15 digits" in _refused(one, f"correct 3/{'9' * 150} 5 ana reason")
+    assert "15 digits" in _refused(one, "correct ³/1 5 ana reason")
     assert "call server 4's to correct" in _refused(one, "correct 4/1 5 ana reason")
     assert "such as 2026-12" in _refused(one, "close 2026-13x")
     assert "the open one is 2026-12" in _refused(one, "close 2030-01")
--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -119,7 +119,7 @@
             if self.other is not None:
                 self.other.unread -= len(data)
                 self.other._pressure()
-            while data:
+            while data and not self.closing:  # as asyncio: once closed here, what still comes is not read
                 room = self.protocol.get_buffer(len(data))
                 taken = min(len(room), len(data))  # type: ignore[arg-type]
                 memoryview(room)[:taken] = data[:taken]
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import random
+import re
 import shlex
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
@@ -832,8 +833,11 @@
                 return f"{period} is stated; it is closed when a majority agrees: {self.agreements[period].state}"
             case ["correct", dialogue, change, who, why]:
                 origin, _, number = dialogue.partition("/")
-                if not (origin.isdigit() and number.isdigit()) or not change.lstrip("-").isdigit():
-                    raise ValueError(f"correct {dialogue} {change}: ORIGIN/DIALOGUE and whole microseconds")
+                # In bounds: what an entry has no form for would raise in the middle of making one.
+                if not re.fullmatch("[0-9]{1,5}/[0-9]{1,18} -?[0-9]{1,15}", f"{dialogue} {change}"):
+                    raise ValueError(
+                        f"correct {dialogue[:40]} {change[:40]}: ORIGIN/DIALOGUE and whole microseconds, 15 digits at most"
+                    )
                 wrong = self.correct(int(origin), int(number), int(change), who, why)
                 if wrong:
                     raise ValueError(wrong)
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Callable, Hashable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
@@ -22,7 +23,8 @@
 from wellhitch.trunk import frames
 from wellhitch.trunk.port import KeptLink, Port
 
-MAX_LINE = 200  # bytes of an operator's request; every command is far shorter
+MAX_LINE = 2_000  # bytes of an operator's request: a correction with who and why, 200 characters each, has at most 1,700
+ASK_WITHIN_S = 10.0  # for an operator to ask and to read the answer; over loopback a moment is enough
 MOST_LINKS = 500  # from callers and peers together: half of the 1,024 descriptors that a process has by default; the
 # others are for its own links to offices, guides and peers, and for files
 STOP_EVERY = 0.02  # s between looks at what is still owed while stopping
@@ -326,7 +328,7 @@
         if word in ("canary", "take", "drop") and hooks.shadow is None:
             return "no shadow runs: hooks shadow begins one"
         if word == "canary":
-            if not number.isdigit() or int(number) > 100:
+            if not re.fullmatch("[0-9]{1,3}", number) or int(number) > 100:
                 return f"canary {number[:20]!r}: a percentage from 0 to 100"
             hooks.canary = int(number) * BUCKETS // 100
             return f"the shadow decides for {number}% of called numbers"
@@ -517,14 +519,19 @@
         self.buffer = bytearray(MAX_LINE)
         self.filled = 0
         self.transport: asyncio.Transport | None = None
+        self.late: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Somebody asks."""
         self.transport = cast(asyncio.Transport, transport)
         self.daemon.operators[self.transport] = None
+        # Guards against one who asks nothing, or reads no answer: the line was kept for ever.
+        self.late = self.daemon.loop.call_later(ASK_WITHIN_S, self.transport.abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """They left."""
+        if self.late:
+            self.late.cancel()
         if self.transport:
             self.daemon.operators.pop(self.transport, None)
 
@@ -536,18 +543,28 @@
         """Part of a line came."""
         self.filled += nbytes
         line, newline, _ = bytes(self.buffer[: self.filled]).partition(b"\n")
-        if not self.transport or not (newline or self.filled == MAX_LINE):
+        if not self.transport or self.transport.is_closing() or not (newline or self.filled == MAX_LINE):
             return
-        asked = line.strip().decode("utf-8", "replace")
-        if asked == "status":
-            said = msgspec.json.format(msgspec.json.encode(self.daemon.status()), indent=2) + b"\n"
-        elif asked == "metrics":
-            said = exposition(self.daemon.switch)
-        elif asked.split(" ")[0] == "hooks":
-            said = self.daemon.hooks_asked(asked.partition(" ")[2]).encode() + b"\n"
-        elif asked.split(" ")[0] == "ledger":
-            said = self.daemon.ledger_asked(asked.partition(" ")[2]).encode() + b"\n"
-        else:
-            said = f"unknown request {asked[:40]!r}: status, metrics, hooks or ledger\n".encode()
+        try:
+            said = self._answer(line.strip().decode("utf-8", "replace")) if newline else TOO_LONG
+        except Exception as fault:  # one who asks is answered, whatever is wrong
+            self.daemon.write_log("operator_fault", fault=f"{type(fault).__name__}: {fault}")
+            said = f"not done: {type(fault).__name__}: {fault}\n".encode()
         self.transport.write(said)
         self.transport.close()
+
+    def _answer(self, asked: str) -> bytes:
+        daemon, (what, _, rest) = self.daemon, asked.partition(" ")
+        if asked == "status":
+            return msgspec.json.format(msgspec.json.encode(daemon.status()), indent=2) + b"\n"
+        if asked == "metrics":
+            return exposition(daemon.switch)
+        if what == "hooks":
+            return daemon.hooks_asked(rest).encode() + b"\n"
+        if what == "ledger":
+            return daemon.ledger_asked(rest).encode() + b"\n"
+        return f"unknown request {asked[:40]!r}: status, metrics, hooks or ledger\n".encode()
+
+
+TOO_LONG = f"a request over {MAX_LINE} bytes is not taken\n".encode()
+"""What was cut there used to be carried out as it stood."""
