An office that is not who the list says, and peers that moved, keep no link; malformed lists are not followed

Seen: an office that said number 2 at the address listed for 1 was dialled for 1; a peer that moved kept its old link, tried for ever; the peers of a malformed list, or of an old one, were followed. Ruled out: Switch.listed, which skips such lists itself.

--- /dev/null
+++ b/tests/test_doors.py
@@ -0,0 +1,136 @@
+"""The daemon's doors on the emulated network: operators, peers, offices that are not who the list says."""
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+from world import Hand, day
+
+from wellhitch.emulator.loop import VirtualLoop
+from wellhitch.emulator.network import EmulatedNetwork
+from wellhitch.lab.fleet import HostAddresses, sheet_of
+from wellhitch.server.daemon import Daemon, Doors
+from wellhitch.settings.sheet import opened
+from wellhitch.trunk import frames
+from wellhitch.trunk.port import Port
+
+
+class Asking(asyncio.BufferedProtocol):
+    """An operator at the door."""
+
+    def __init__(self) -> None:
+        self.said = b""
+        self.gone = False
+        self.buffer = bytearray(1 << 16)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.said += bytes(self.buffer[:nbytes])
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone = True
+
+
+class Door:
+    """A call server at exchange 0 whose doors are knocked at."""
+
+    def __init__(self, **over: Any) -> None:
+        self.loop = VirtualLoop()
+        self.faults: list[str] = []
+        self.loop.set_exception_handler(lambda loop, context: self.faults.append(str(context)))
+        self.net = EmulatedNetwork(self.loop, 1)
+        self.said: list[str] = []
+        facts = opened(sheet_of(day(**over), 0, HostAddresses()))
+        doors = Doors("s:1", "s:2", "s:3", "register:1", "")
+        hooks = {"a": "on arrive { return none }"}
+        self.daemon = Daemon(
+            self.loop, self.net.at("s"), facts, doors, 10, 1, lambda event, **facts: self.said.append(event),
+            hooks=hooks,
+        )  # fmt: skip
+        self.daemon.start()
+        self.loop.advance(0.1)
+
+    def operator(self) -> Asking:
+        asking = Asking()
+        self.net.at("o").connect("s:3", lambda: asking, print)
+        self.loop.advance(0.1)
+        return asking
+
+    def ask(self, text: bytes) -> bytes:
+        asking = self.operator()
+        asking.transport.write(text)
+        self.loop.advance(0.1)
+        assert asking.gone and not self.faults, self.faults
+        return asking.said
+
+    def party(self, address: str, hello: frames.Hello) -> Hand:
+        """Somebody who listens at an address."""
+        hand = Hand()
+        self.net.at(address.partition(":")[0]).listen(
+            address, lambda: Port(self.loop, hand, hello, ("call_server",)), lambda listener: None
+        )
+        return hand
+
+    def listed(self, *lines: frames.ListLine, kind: str = "whole", revision: int = 1) -> None:
+        frame = frames.List(kind, revision, list(lines))
+        self.daemon.guides.link_frame(cast(Port, None), frame)
+        self.loop.advance(1.0)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("hooks canary ²\n", "a percentage"),
+        ("status" + " " * 5000 + "\n", "over"),
+        ("ledger correct 0/1 " + "9" * 5000 + "\n", "over"),
+        ("ledger correct 0/1 " + "9" * 150 + " ana why\n", "no ledger"),
+        ("\n", "unknown request"),
+        ("\udcff\x00\n", "unknown request"),
+    ],
+)
+def test_whatever_an_operator_says_is_answered_in_one_line(text: str, said: str) -> None:
+    door = Door()
+    if text.startswith("hooks canary"):
+        door.daemon.switch.hooked.hooks.try_beside(door.daemon.switch.hooked.hooks.version)  # type: ignore[union-attr]
+    assert said in door.ask(text.encode("utf-8", "surrogateescape")).decode()
+
+
+def test_an_operator_who_says_nothing_or_reads_nothing_is_let_go() -> None:
+    door = Door()
+    silent, dripping = door.operator(), door.operator()
+    for _ in range(12):
+        dripping.transport.write(b"s")
+        door.loop.advance(1.0)
+    assert silent.gone and dripping.gone and not door.daemon.operators
+
+
+def test_an_office_of_another_number_than_the_list_says_is_not_dialled() -> None:
+    """An address that was given to another office: dialogues for 1 went to 2, which handed them on."""
+    door = Door()
+    wrong = door.party("o1:1", frames.Hello("office", 2, 1))
+    door.listed(frames.ListLine("o1", 1, "ready", None, "o1:1"))
+    assert not door.daemon.switch.offices["o1"].up
+    assert wrong.down and "office 2, not 1" in wrong.down[0] and "office_not_as_listed" in door.said
+
+
+def test_a_peer_that_moved_keeps_no_old_link() -> None:
+    door = Door(limits={"may_tell_peers": True})
+    hello = frames.Hello("call_server", 1, 1)
+    old, new = door.party("p1:1", hello), door.party("p1:2", hello)
+    door.listed(frames.ListLine("o1", 1, "ready", None, "o1:1", "p1:1"))
+    assert len(old.up) == 1
+    door.listed(frames.ListLine("o1", 1, "ready", None, "o1:1", "p1:2"), revision=2)
+    assert old.down and len(new.up) == 1 and list(door.daemon.peer_links) == ["p1:2"]
+
+
+@pytest.mark.parametrize("kind", ["whole", "odd"])
+def test_a_malformed_list_is_not_followed_to_its_peers(kind: str) -> None:
+    door = Door(limits={"may_tell_peers": True})
+    standing = "ready" if kind == "odd" else "broken"
+    door.listed(frames.ListLine("o1", 1, standing, None, "o1:1", "p1:1"), kind=kind)
+    assert not door.daemon.peer_links and door.daemon.switch.counts["lists_malformed"] == 1
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -18,7 +18,7 @@
 from wellhitch.net.seam import Listener, Network, now_us
 from wellhitch.server.hooked import NO_CLOCK, Hooked, WallClock
 from wellhitch.server.metrics import exposition
-from wellhitch.server.switch import Outlet, Switch
+from wellhitch.server.switch import Outlet, Switch, list_fault
 from wellhitch.settings.checked import Faults
 from wellhitch.trunk import frames
 from wellhitch.trunk.port import KeptLink, Port
@@ -263,7 +263,11 @@
         for line in lines:
             address = line.peer
             if address:
+                before = self.peer_numbers.get(line.number, address)
                 self.peer_numbers[line.number] = address
+                if before != address and before in self.peer_links:
+                    # Guards against links to where a peer was, each tried for ever.
+                    self.peer_links.pop(before).close()
             if line.number != self.switch.number and address and address not in self.peer_links:
                 self.peer_links[address] = KeptLink(
                     self.loop,
@@ -456,7 +460,8 @@
         """The register or the centre says something."""
         if isinstance(frame, frames.List):
             self.daemon.switch.listed(frame, self.daemon.now())
-            self.daemon.follow_peers(frame.lines)
+            if not list_fault(frame) and frame.revision == self.daemon.switch.revision:
+                self.daemon.follow_peers(frame.lines)
         elif isinstance(frame, frames.Advice):
             self.daemon.switch.advised(frame)
 
@@ -471,7 +476,13 @@
         )
 
     def link_up(self, port: Port) -> None:
-        """The office answers."""
+        """The office answers. Guards against an address that is another office's by now: dialogues would go to the
+        wrong exchange, which hands them on as if in transit."""
+        end = self.daemon.switch.offices.get(self.office)
+        if end is not None and port.peer.number != end.number:
+            self.daemon.write_log("office_not_as_listed", office=self.office, number=port.peer.number)
+            port.fail(f"office {port.peer.number}, not {end.number} as listed")
+            return
         self.daemon.switch.office_up(self.office, port.peer.boot, self.daemon.now())
 
     def link_down(self, port: Port, why: str) -> None:
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -820,10 +820,10 @@
 
         Guards rule 3 against a register that restarted with an old count: its news of a drain then comes under a
         revision that was seen before. Keeping back costs a dial elsewhere; not keeping back breaks the rule."""
-        bad = [line for line in frame.lines if line.standing not in STANDINGS or line.number < 0]
-        if bad or frame.kind not in ("changes", "whole", "remembered"):
+        fault = list_fault(frame)
+        if fault:
             self.counts["lists_malformed"] += 1
-            self.outlet.log("list_malformed", revision=frame.revision, line=repr(bad[:1]))
+            self.outlet.log("list_malformed", revision=frame.revision, line=fault)
             return
         if frame.revision < self.revision:
             self.counts["lists_skipped"] += 1
@@ -931,6 +931,16 @@
         return sum(taken.owed for taken in self.taken.values())
 
 
+def list_fault(frame: frames.List) -> str:
+    """What is wrong with a list, or nothing."""
+    if frame.kind not in ("changes", "whole", "remembered"):
+        return f"kind {frame.kind[:40]!r}"
+    for line in frame.lines:
+        if line.standing not in STANDINGS or not 0 <= line.number < frames.NUMBERS:
+            return repr(line)[:200]
+    return ""
+
+
 def _short(text: str | None) -> bool:
     """Whether a number called or a tenant is one: they are kept for a minute, and longer ones would fill memory."""
     return text is None or len(text) <= MAX_TEXT
--- a/wellhitch/trunk/port.py
+++ b/wellhitch/trunk/port.py
@@ -302,8 +302,9 @@
         if self._closed:
             port.close()
             return
-        self.redial.came_up()
         self.owner.link_up(port)
+        if port.link.state is not State.CLOSED:  # not one that the owner does not want: it would be tried at once
+            self.redial.came_up()
 
     def link_frame(self, port: Port, frame: frames.Any) -> None:
         """A frame came."""
