Work on the disk that raises anything is told to who waits for it

Seen: whatever was no StoreFault ended the thread's work without a word. A damaged identity record left the ledger shut, unsaid and its file locked; a disk error while sizes were asked for left upkeep busy for good, so that the log grew without bound; an entry with no form on disk stopped commits. Ruled out: Writer, which tries again whatever it is told. At fault: SystemDisk._on, EmulatedDisk.run, Keeper._try_open.

--- a/wellhitch/emulator/disk.py
+++ b/wellhitch/emulator/disk.py
@@ -10,7 +10,7 @@
 
 import apsw
 
-from wellhitch.store.engine import Engine, StoreFault
+from wellhitch.store.engine import Engine, StoreFault, told_as
 
 SECTOR = 512  # bytes that a disk writes at once, at best: the least that can be torn off
 
@@ -111,8 +111,8 @@
             found = work()
         except PowerCut:
             return  # nobody is left to be told
-        except StoreFault as fault:
-            found = fault
+        except Exception as fault:
+            found = told_as(fault)
         if self.dead:
             return  # the power went where the database looks past a failure
         if self.loop is None:
--- a/wellhitch/store/engine.py
+++ b/wellhitch/store/engine.py
@@ -39,6 +39,16 @@
 )
 
 
+def told_as(error: Exception) -> StoreFault:
+    """Whatever work on a disk raised, as a fault that whoever waits for the work is told. Guards against work that ends
+    without a word: upkeep, commits and the opening of the store then waited for it for ever."""
+    if isinstance(error, StoreFault):
+        return error
+    if isinstance(error, apsw.Error):
+        return fault_of(error, "the store")
+    return StoreFault("damaged" if isinstance(error, Damaged) else "failing", f"{type(error).__name__}: {error}")
+
+
 def fault_of(error: apsw.Error, name: str) -> StoreFault:
     """SQLite's error as ours."""
     trouble = next((told for kind, told in TROUBLES if isinstance(error, kind)), "failing")
--- a/wellhitch/store/keeper.py
+++ b/wellhitch/store/keeper.py
@@ -94,7 +94,7 @@
             engine = self.disk.open(self.name)
             try:
                 return engine, self._read_first(engine)
-            except StoreFault:
+            except Exception:  # a damaged record, say: closed again, or the next try finds the file in use
                 engine.close()
                 raise
 
--- a/wellhitch/store/system.py
+++ b/wellhitch/store/system.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from wellhitch.store.engine import Engine, StoreFault
+from wellhitch.store.engine import Engine, StoreFault, told_as
 
 
 class SystemDisk:
@@ -58,8 +58,8 @@
             found: Any
             try:
                 found = work()
-            except StoreFault as fault:
-                found = fault
+            except Exception as fault:
+                found = told_as(fault)
             if not self._loop.is_closed():
                 self._loop.call_soon_threadsafe(done, found)
 
