What is no file in a file's place is told by name, and holds nothing else up

Seen: a pipe in place of the keys, of hooks' state, of a hook file or in the folder of receipts held the start, the tool or the disk's thread up for ever; a directory among the receipts ended every look at them; a line of a capture that is a text, or whose times are none, was a traceback; a disk that took over 10 s at the end too. Ruled out: templates, which look for a file. One reader, settings/files.py, does it now.

--- /dev/null
+++ b/tests/test_files.py
@@ -0,0 +1,165 @@
+"""Every file that is read: a directory, a pipe, garbage or nothing in its place is one clear error that names it."""
+
+import json
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from world import RULES, USE_CASES, day
+
+from wellhitch.cli.main import main
+from wellhitch.cli.serve import read_state
+from wellhitch.ledger.book import begun
+from wellhitch.ledger.box import MOST_LOOKED_AT, FolderBox
+from wellhitch.ledger.entries import NumberKeys
+from wellhitch.settings.files import read_file
+from wellhitch.store.engine import Engine
+from wellhitch.trunk.capture import BadCapture, read, read_folder
+
+DOORS = {"callers": "127.0.0.1:0", "register": "127.0.0.1:7000", "operators": "127.0.0.1:1"}
+USES = [{name: value for name, value in use.items() if name != "share"} for use in USE_CASES]
+LEDGER = {
+    "folder": "kept", "roster": [3], "number_keys": "keys.json", "export": "way", "export_key": "both.key",
+}  # fmt: skip
+DECEMBER = 1_796_083_200_000_000
+SHEET = {
+    "number": 3,
+    "seed": 1,
+    "peers": 0,
+    "use_cases": USES,
+    "rules": RULES,
+    "doors": DOORS,
+    "ledger": LEDGER,
+}
+
+
+def a_pipe(path: Path) -> None:
+    os.mkfifo(path)
+
+
+def a_directory(path: Path) -> None:
+    path.mkdir()
+
+
+def garbage(path: Path) -> None:
+    path.write_bytes(bytes(range(256)) * 3)
+
+
+def nothing(path: Path) -> None:
+    path.write_bytes(b"")
+
+
+def missing(path: Path) -> None:
+    pass
+
+
+def too_large(path: Path) -> None:
+    with path.open("wb") as file:
+        file.truncate(1 << 40)
+
+
+PLACES = [a_pipe, a_directory, garbage, nothing, missing]
+FILES = [
+    ("sheet.json", ["check", "sheet.json"]),
+    ("sheet.json", ["serve", "sheet.json"]),
+    ("day.json", ["day", "play", "day.json", "--virtual"]),
+    ("drawn.json", ["day", "from-bench", "drawn.json"]),
+    ("keys.json", ["serve", "sheet.json"]),
+    ("both.key", ["serve", "sheet.json"]),
+    ("tariff.json", ["ledger", "rate", "sheet.json", "tariff.json"]),
+    ("kept/ledger", ["ledger", "verify", "sheet.json"]),
+    ("hooks/a.hook", ["hooks", "test", "hooks"]),
+    ("captures/a.capture", ["judge", "captures"]),
+]
+
+
+@pytest.fixture
+def folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    monkeypatch.chdir(tmp_path)
+    for name in ("kept", "hooks", "captures"):
+        (tmp_path / name).mkdir()
+    (tmp_path / "sheet.json").write_text(json.dumps(SHEET))
+    (tmp_path / "day.json").write_bytes(msgspec.json.encode(day()))
+    (tmp_path / "keys.json").write_text(json.dumps({"1": "6b" * 32}))
+    (tmp_path / "both.key").write_text("6b" * 32)
+    (tmp_path / "tariff.json").write_text(json.dumps({"currency": "BRL", "prices": []}))
+    engine = Engine(str(tmp_path / "kept" / "ledger"))
+    engine.commit(begun(3, None, None, 7, NumberKeys({}))[0].alive(DECEMBER))
+    engine.close()
+    return tmp_path
+
+
+@pytest.mark.parametrize("place", PLACES, ids=lambda place: place.__name__)
+@pytest.mark.parametrize(
+    ("name", "words"), FILES, ids=lambda value: value if isinstance(value, str) else value[0]
+)
+def test_what_is_no_such_file_is_one_clear_error(
+    folder: Path, name: str, words: list[str], place: Callable[[Path], None]
+) -> None:
+    path = folder / name
+    path.unlink(missing_ok=True)
+    place(path)
+    done = CliRunner().invoke(main, words)
+    if words[0] == "hooks" and place is nothing:
+        assert done.exit_code == 0  # an empty file is one without hooks
+        return
+    assert isinstance(done.exception, SystemExit), done.exception
+    told = done.output.strip()
+    assert done.exit_code in (1, 2) and told and "Traceback" not in told
+    assert path.name in told or path.parent.name in told, told
+
+
+def test_a_file_over_the_bound_is_told_and_not_read(tmp_path: Path) -> None:
+    too_large(tmp_path / "x")
+    with pytest.raises(OSError, match="over"):
+        read_file(tmp_path / "x")
+
+
+@pytest.mark.parametrize("place", [a_pipe, a_directory, too_large], ids=lambda place: place.__name__)
+def test_hook_state_that_is_no_file_is_said_and_the_start_goes_on(
+    tmp_path: Path, place: Callable[[Path], None]
+) -> None:
+    place(tmp_path / "state")
+    said: list[str] = []
+    assert (
+        read_state(tmp_path / "state", lambda event, **facts: said.append(f"{event} {facts['why']}")) == b""
+    )
+    assert len(said) == 1 and said[0].startswith("hooks_state_dropped") and "state" in said[0]
+
+
+@pytest.mark.parametrize("place", [a_pipe, a_directory, too_large], ids=lambda place: place.__name__)
+def test_what_is_no_receipt_holds_up_no_other(tmp_path: Path, place: Callable[[Path], None]) -> None:
+    """A directory ended each look, a pipe the disk's thread: nothing of the ledger reached the disk any more."""
+    box, back = FolderBox(tmp_path, 3), tmp_path / "back"
+    back.mkdir()
+    place(back / "3-0.wr")
+    for n in range(1, MOST_LOOKED_AT + 4):
+        (back / f"3-{n}.wr").write_bytes(b"r%d" % n)
+    with pytest.raises(OSError, match="3-0.wr"):
+        box.receipts()
+    assert len(box.receipts()) == MOST_LOOKED_AT and len(box.receipts()) == 3 and box.receipts() == []
+
+
+HEAD = b'{"capture":1,"party":"office","name":"x"}'
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b'"abc"', b"5", b"null", b'["a","in",1,"office",2,"Leave",1]', b'[1,2,"x",3,[],"Leave",1]', b"[]", b'{"t":"x","note":5}',
+        b'{"note":"x"}', b"[" * 3000, b"\xff\xfe", b'[1e400,"in",1,"office",2,"Leave",1]', b'{"end":"x"}',
+    ],
+)  # fmt: skip
+def test_a_line_that_is_none_of_a_capture_is_named(line: bytes) -> None:
+    with pytest.raises(BadCapture, match="x:2"):
+        read([HEAD, line, b'{"end":1}'], "x")
+
+
+@pytest.mark.parametrize("place", [a_pipe, a_directory], ids=lambda place: place.__name__)
+def test_what_is_no_capture_in_a_folder_is_named(tmp_path: Path, place: Callable[[Path], None]) -> None:
+    place(tmp_path / "a.capture")
+    with pytest.raises(BadCapture, match="a.capture"):
+        read_folder(tmp_path)
--- a/wellhitch/cli/day.py
+++ b/wellhitch/cli/day.py
@@ -16,6 +16,7 @@
 from wellhitch.settings.checked import Faults
 from wellhitch.settings.day import Day
 from wellhitch.settings.day import check as check_day
+from wellhitch.settings.files import read_file
 from wellhitch.stand_ins.troubles import CannotPlay
 
 
@@ -85,7 +86,7 @@
     """
     with told_plainly():
         try:
-            value = msgspec.json.decode(file.read_bytes())
+            value = msgspec.json.decode(read_file(file))
         except OSError as fault:
             raise Faults(str(file), [fault.strerror or "cannot be read"]) from None
         except msgspec.DecodeError as fault:
--- a/wellhitch/cli/hooks.py
+++ b/wellhitch/cli/hooks.py
@@ -11,7 +11,7 @@
 from wellhitch.cli.errors import told_plainly
 from wellhitch.hooks.check import check as check_file
 from wellhitch.hooks.emit import compiled
-from wellhitch.hooks.grammar import Parser
+from wellhitch.hooks.grammar import MAX_SOURCE, Parser
 from wellhitch.hooks.host import LOAD_STEPS, MEMORY, STEPS, Version, as_value, load, run_tests
 from wellhitch.hooks.layout import lay_out
 from wellhitch.hooks.points import POINTS, BadAnswer, read_answer
@@ -21,6 +21,7 @@
 from wellhitch.lab.hook_runs import differences, facts_of, page, run, shown
 from wellhitch.lab.play import play_virtual
 from wellhitch.settings.checked import Faults
+from wellhitch.settings.files import read_file
 from wellhitch.trunk import frames
 from wellhitch.trunk.capture import BadCapture, Capture, read_folder
 
@@ -47,7 +48,7 @@
     if not files:
         raise Faults(str(folder), ["no files *.hook in it"])
     try:
-        return {file.name: file.read_text(encoding="utf-8") for file in files}
+        return {file.name: read_file(file, 4 * MAX_SOURCE).decode() for file in files}
     except (OSError, UnicodeDecodeError) as fault:
         raise Faults(str(folder), [str(fault)]) from None
 
--- a/wellhitch/cli/serve.py
+++ b/wellhitch/cli/serve.py
@@ -16,6 +16,7 @@
 from wellhitch.cli.check import read_sheet
 from wellhitch.cli.errors import told_plainly
 from wellhitch.cli.logs import set_up
+from wellhitch.hooks.keeping import MAX_BYTES
 from wellhitch.ledger.box import FolderBox
 from wellhitch.ledger.desk import Desk, Door
 from wellhitch.ledger.entries import NumberKeys
@@ -23,9 +24,11 @@
 from wellhitch.server.daemon import Daemon, Doors, Log, MakeDesk
 from wellhitch.server.hooked import WallClock
 from wellhitch.settings.checked import Faults
+from wellhitch.settings.files import read_file
 from wellhitch.settings.sheet import Sheet, opened
 from wellhitch.store.system import SystemDisk
 
+MOST_KEYS = 1 << 20  # bytes of a file of keys: over ten thousand of them
 CLOSE_WITHIN_S = 10.0  # for the ledger's last commit; a disk that takes longer is as good as lost
 STOP_WITHIN = 10_000_000  # us; longer than any outer limit seen, so that what is owed can be answered
 
@@ -56,7 +59,7 @@
         return NumberKeys({})
     path = file.parent / sheet.ledger.number_keys
     try:
-        plain = msgspec.json.decode(path.read_bytes(), type=dict[str, str])
+        plain = msgspec.json.decode(read_file(path, MOST_KEYS), type=dict[str, str])
         return NumberKeys({int(number): bytes.fromhex(key) for number, key in plain.items()})
     except (OSError, msgspec.MsgspecError, ValueError) as fault:
         raise Faults(str(path), [f"ledger.number_keys: {fault}"]) from None
@@ -65,7 +68,7 @@
 def read_export_key(path: Path) -> bytes:
     """The key of the two sides of the export. Raises Faults."""
     try:
-        key = bytes.fromhex(path.read_text().strip())
+        key = bytes.fromhex(read_file(path, MOST_KEYS).decode().strip())
     except (OSError, ValueError) as fault:
         raise Faults(str(path), [f"ledger.export_key: {fault}"]) from None
     if len(key) != 32:
@@ -118,6 +121,17 @@
         await asyncio.to_thread(_write, state, daemon.hooks_state(), log)
 
 
+def read_state(state: Path, log: Log) -> bytes:
+    """What hooks remembered, as far as it can be read; a start waits for no pipe and fails for no directory."""
+    try:
+        return read_file(state, MAX_BYTES)
+    except FileNotFoundError:
+        return b""  # the first start
+    except OSError as fault:
+        log("hooks_state_dropped", why=f"{state}: {fault}")
+        return b""
+
+
 def _write(state: Path, data: bytes, log: Log) -> None:
     """The whole file or the old one."""
     beside = state.with_name(state.name + ".new")
@@ -165,12 +179,7 @@
     loop.set_exception_handler(trouble)
     state = file.parent / sheet.hooks_state if sheet.hooks_state else None
     if state is not None:
-        try:
-            daemon.take_hooks_state(state.read_bytes())
-        except FileNotFoundError:
-            pass  # the first start
-        except OSError as fault:
-            log("hooks_state_dropped", why=f"{state}: {fault}")
+        daemon.take_hooks_state(read_state(state, log))
     keeping = loop.create_task(_keep(daemon, state, log)) if state is not None else None
 
     def stop() -> None:
@@ -194,7 +203,13 @@
     daemon.ledger_closed = closed.set  # type: ignore[method-assign]
     daemon.kill()
     if disk:
-        await asyncio.wait_for(closed.wait(), CLOSE_WITHIN_S)
+        try:
+            await asyncio.wait_for(closed.wait(), CLOSE_WITHIN_S)
+        except TimeoutError:
+            # Guards against a traceback, and a wait without end for the disk's thread, in place of a word.
+            log("ledger_not_closed", why=f"the disk took over {CLOSE_WITHIN_S} s; what waited is lost")
+            sys.stderr.flush()
+            os._exit(code or 1)
         disk.close()
     await asyncio.sleep(0)
     return code
--- a/wellhitch/ledger/box.py
+++ b/wellhitch/ledger/box.py
@@ -6,8 +6,12 @@
 from pathlib import Path
 from typing import Protocol
 
+from wellhitch.settings.files import read_file
+
 MOST_BACK = 16 << 20  # bytes of what comes back: a receipt has some 80, a file that is given back some 2 MB
 
+MOST_LOOKED_AT = 32  # receipts of one look: more wait for the next, or a full folder would fill memory
+
 
 class Box(Protocol):
     """The way to the accounting side. Calls may block."""
@@ -34,9 +38,17 @@
     def receipts(self) -> list[bytes]:
         """As `Box`."""
         found = []
-        for path in sorted((self._folder / "back").glob(f"{self._instance}-*.wr")):
-            with path.open("rb") as file:
-                found.append(file.read(MOST_BACK))
+        for path in sorted((self._folder / "back").glob(f"{self._instance}-*.wr"))[:MOST_LOOKED_AT]:
+            try:
+                data = read_file(path, MOST_BACK)
+            except OSError:
+                # Guards the others, and the disk's thread, against a directory, a pipe or a file without end: it is
+                # put aside under another name, told once, and what lies behind it is read at the next look.
+                path.rename(path.with_name(f"{path.name}.bad"))
+                if found:
+                    return found
+                raise
+            found.append(data)
             path.unlink()
         return found
 
--- a/wellhitch/ledger/reading.py
+++ b/wellhitch/ledger/reading.py
@@ -50,7 +50,7 @@
 def read(folder: Path) -> Reading:
     """Read a ledger's folder. Raises StoreFault."""
     path = folder / "ledger"
-    if not path.exists():
+    if not path.is_file():  # nor a pipe, which would hold the database up
         raise StoreFault("failing", f"{path}: no ledger there")
     engine = Engine(str(path), read_only=True)
     try:
--- a/wellhitch/store/engine.py
+++ b/wellhitch/store/engine.py
@@ -46,7 +46,9 @@
         return error
     if isinstance(error, apsw.Error):
         return fault_of(error, "the store")
-    return StoreFault("damaged" if isinstance(error, Damaged) else "failing", f"{type(error).__name__}: {error}")
+    return StoreFault(
+        "damaged" if isinstance(error, Damaged) else "failing", f"{type(error).__name__}: {error}"
+    )
 
 
 def fault_of(error: apsw.Error, name: str) -> StoreFault:
--- a/wellhitch/trunk/capture.py
+++ b/wellhitch/trunk/capture.py
@@ -73,17 +73,19 @@
                 facts = {k: v for k, v in value.items() if k not in ("capture", "party", "name")}
                 capture = Capture(str(value["party"]), str(value["name"]), facts)
             elif isinstance(value, list):
-                t, way, link, role, number = value[:5]
+                t, way, link, role, number = msgspec.convert(value[:5], tuple[int, str, int, str, int])
                 frame = _frame_decoder.decode(msgspec.json.encode(value[5:]))
                 capture.lines.append(Line(t, way, link, role, number, frame))
+            elif not isinstance(value, dict):
+                raise ValueError("no frame, note or end")
             elif "end" in value:
                 if value["end"] != len(capture.lines):
                     raise BadCapture(f"{where}:{at}: {len(capture.lines)} lines, not {value['end']}")
                 ended = True
             else:
                 facts = {k: v for k, v in value.items() if k not in ("t", "note")}
-                capture.lines.append(Note(value["t"], value["note"], facts))
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as fault:
+                capture.lines.append(Note(msgspec.convert(value["t"], int), str(value["note"]), facts))
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError, RecursionError) as fault:
             raise BadCapture(f"{where}:{at}: {fault}") from None
     if capture is None:
         raise BadCapture(f"{where}: empty")
@@ -101,6 +103,8 @@
         raise BadCapture(f"{folder}: no captures (*.capture)")
     out = []
     for file in files:
+        if not file.is_file():  # a pipe would hold the judge up
+            raise BadCapture(f"{file.name}: not a file")
         with file.open("rb") as source:
             out.append(read(source, file.name))
     return out
--- a/wellhitch/trunk/port.py
+++ b/wellhitch/trunk/port.py
@@ -303,7 +303,9 @@
             port.close()
             return
         self.owner.link_up(port)
-        if port.link.state is not State.CLOSED:  # not one that the owner does not want: it would be tried at once
+        if (
+            port.link.state is not State.CLOSED
+        ):  # not one that the owner does not want: it would be tried at once
             self.redial.came_up()
 
     def link_frame(self, port: Port, frame: frames.Any) -> None:
