Names that nothing reads leave: counters, constants and a function of the ledger and stand-ins

Evidence: a search for every name in the program and its tests. row_bytes served two tests alone; commits, busy_us, started_at, bytes_written were counted and never read; ROLES, SIDES, ANSWERS, MICROS were read by nobody.

--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -149,8 +149,9 @@
 @pytest.mark.parametrize(
     "line",
     [
-        b'"abc"', b"5", b"null", b'["a","in",1,"office",2,"Leave",1]', b'[1,2,"x",3,[],"Leave",1]', b"[]", b'{"t":"x","note":5}',
-        b'{"note":"x"}', b"[" * 3000, b"\xff\xfe", b'[1e400,"in",1,"office",2,"Leave",1]', b'{"end":"x"}',
+        b'"abc"', b"5", b"null", b'["a","in",1,"office",2,"Leave",1]', b'[1,2,"x",3,[],"Leave",1]', b"[]",
+        b'{"t":"x","note":5}', b'{"note":"x"}', b"[" * 3000, b"\xff\xfe",
+        b'[1e400,"in",1,"office",2,"Leave",1]', b'{"end":"x"}',
     ],
 )  # fmt: skip
 def test_a_line_that_is_none_of_a_capture_is_named(line: bytes) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,7 +10,7 @@
 
 from wellhitch.lab.explore_ledger import Bounds, explore
 from wellhitch.ledger.book import OtherDisk, Seen, Standing, begun
-from wellhitch.ledger.chain import Chain, ChainName, read_row, row_bytes, verify
+from wellhitch.ledger.chain import Chain, ChainName, read_row, verify
 from wellhitch.ledger.entries import (
     Answered,
     BadEntry,
@@ -80,7 +80,7 @@
 
 def a_chain(rows: int = 12) -> list[tuple[int, bytes | None]]:
     chain = Chain(NAME)
-    return [(n, row_bytes(chain.add(Lacking(n, 0, 0), "2026-12"))) for n in range(1, rows + 1)]
+    return [(n, msgspec.msgpack.encode(chain.add(Lacking(n, 0, 0), "2026-12"))) for n in range(1, rows + 1)]
 
 
 def head(rows: list[tuple[int, bytes | None]]) -> tuple[int, bytes]:
@@ -116,7 +116,7 @@
         data = rows[4][1]
         assert data
         row = read_row(data)
-        rows[4] = (5, row_bytes(msgspec.structs.replace(row, entry=encode(Lacking(99, 0, 0)))))
+        rows[4] = (5, msgspec.msgpack.encode(msgspec.structs.replace(row, entry=encode(Lacking(99, 0, 0)))))
     elif what == "damaged":
         rows[4] = (5, None)
     elif what == "garbage":
@@ -125,13 +125,16 @@
         rows = rows[:9]
     elif what == "rewritten":
         chain = Chain(NAME)
-        rows = [(n, row_bytes(chain.add(Lacking(n + (n > 6), 0, 0), "2026-12"))) for n in range(1, 13)]
+        rows = [
+            (n, msgspec.msgpack.encode(chain.add(Lacking(n + (n > 6), 0, 0), "2026-12")))
+            for n in range(1, 13)
+        ]
     elif what == "twice":
         rows[4] = (5, rows[3][1])
     else:
         # Rows of another chain under this one's keys: their hashes do not fit this chain's name.
         other = Chain(ChainName(3, 78))
-        rows = [(n, row_bytes(other.add(Lacking(n, 0, 0), "2026-12"))) for n in range(1, 13)]
+        rows = [(n, msgspec.msgpack.encode(other.add(Lacking(n, 0, 0), "2026-12"))) for n in range(1, 13)]
         seq, why = 2, "does not follow row 1"
     found = list(verify(NAME, rows, known))
     assert (seq, True) in [(one.seq, why in one.why) for one in found], [str(one) for one in found]
--- a/wellhitch/emulator/disk.py
+++ b/wellhitch/emulator/disk.py
@@ -87,7 +87,6 @@
         self.dead = False
         self.full = self.read_only = False
         self.took_us = 200  # of one piece of work, in virtual time: a commit on a fast disk
-        self.bytes_written = 0
         self.locked: set[str] = set()
         self._free_at = 0
         self._vfs = _Vfs(self, f"emulated-{next(_NAMES)}")
@@ -218,7 +217,6 @@
             self.blob.pending.append((at, bytes(data)))
             raise
         self.blob.write(at, bytes(data))
-        self.disk.bytes_written += len(data)
 
     def xTruncate(self, size: int) -> None:  # noqa: N802
         if self.disk.op():
--- a/wellhitch/ledger/box.py
+++ b/wellhitch/ledger/box.py
@@ -37,7 +37,7 @@
 
     def receipts(self) -> list[bytes]:
         """As `Box`."""
-        found = []
+        found = list[bytes]()
         for path in sorted((self._folder / "back").glob(f"{self._instance}-*.wr"))[:MOST_LOOKED_AT]:
             try:
                 data = read_file(path, MOST_BACK)
--- a/wellhitch/ledger/chain.py
+++ b/wellhitch/ledger/chain.py
@@ -58,11 +58,6 @@
 _DECODER = msgspec.msgpack.Decoder(Row)
 
 
-def row_bytes(row: Row) -> bytes:
-    """A row's bytes."""
-    return _ENCODER.encode(row)
-
-
 def read_row(data: bytes) -> Row:
     """A row. Raises BadEntry; total."""
     try:
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -835,8 +835,9 @@
                 origin, _, number = dialogue.partition("/")
                 # In bounds: what an entry has no form for would raise in the middle of making one.
                 if not re.fullmatch("[0-9]{1,5}/[0-9]{1,18} -?[0-9]{1,15}", f"{dialogue} {change}"):
+                    named = f"{dialogue[:40]} {change[:40]}"
                     raise ValueError(
-                        f"correct {dialogue[:40]} {change[:40]}: ORIGIN/DIALOGUE and whole microseconds, 15 digits at most"
+                        f"correct {named}: ORIGIN/DIALOGUE, whole microseconds of 15 digits at most"
                     )
                 wrong = self.correct(int(origin), int(number), int(change), who, why)
                 if wrong:
--- a/wellhitch/ledger/entries.py
+++ b/wellhitch/ledger/entries.py
@@ -9,13 +9,12 @@
 import msgspec
 from blake3 import blake3
 
-SIDES = ("origin", "tandem", "destination")
-ANSWERS = ("stands", "pushed_back", "forfeited", "gone")  # gone: the caller hung up before an answer
 NUMBER_HASH = 12  # bytes of a called number's hash: a million numbers meet by chance once in 10^17
 
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """A dialogue got its one answer, as `side` saw it. `origin` and `dialogue` name it in the whole fleet; `number` is
+    """A dialogue got its one answer, as `side` (`origin`, `tandem`, `destination`) saw it: `stands`, `pushed_back`,
+    `forfeited`, or `gone`, hung up before an answer. `origin` and `dialogue` name it in the whole fleet; `number` is
     the called number hashed under the key `number_key`. `dial`: which dial of the end before asked here, -1 at the
     origin; `onward`: which own dial stood, `via` the tandem it went by, both -1 where there is none."""
 
--- a/wellhitch/ledger/rating.py
+++ b/wellhitch/ledger/rating.py
@@ -13,7 +13,6 @@
 
 from wellhitch.ledger.settle import Settled
 
-MICROS = 1_000_000  # of one unit of the currency
 CENT = 10_000  # micros
 
 Micros = int
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -23,7 +23,9 @@
 from wellhitch.trunk import frames
 from wellhitch.trunk.port import KeptLink, Port
 
-MAX_LINE = 2_000  # bytes of an operator's request: a correction with who and why, 200 characters each, has at most 1,700
+MAX_LINE = (
+    2_000  # bytes of an operator's request: a correction with who and why of 200 characters has up to 1,700
+)
 ASK_WITHIN_S = 10.0  # for an operator to ask and to read the answer; over loopback a moment is enough
 MOST_LINKS = (
     500  # from callers and peers together: half of the 1,024 descriptors that a process has by default; the
--- a/wellhitch/stand_ins/processor.py
+++ b/wellhitch/stand_ins/processor.py
@@ -62,7 +62,6 @@
         self.slow = 1.0  # times slower, by all troubles together
         self.hung = False
         self.dead = False
-        self.busy_us = 0
         self._line: deque[Job] = deque()
         self._ahead: deque[Job] = deque()
         self._work_waiting = 0.0
@@ -119,7 +118,6 @@
         self._work_waiting -= job.work
         now = now_us(self.loop)
         took = job.work * self.unit_us(now) * (self.drawn() if self.drawn else 1.0)
-        self.busy_us += int(took)
         self._running, self._running_until = True, int(now + took)
         self.loop.call_later(took / 1e6, self._finish, job)
 
--- a/wellhitch/stand_ins/town.py
+++ b/wellhitch/stand_ins/town.py
@@ -74,7 +74,6 @@
 
     def __post_init__(self) -> None:
         day = self.day
-        self.started_at = self.now()
         self.world = self.recorder(
             "world",
             "world",
--- a/wellhitch/store/writer.py
+++ b/wellhitch/store/writer.py
@@ -49,7 +49,6 @@
     wait: int = FIRST_WAIT
     trouble: str = ""
     refused: Refused = field(default_factory=Refused)
-    commits: int = 0
     longest: int = 0
 
     def put(self, changes: Sequence[Change], now: int) -> bool:
@@ -99,7 +98,6 @@
         self.held -= done
         self.longest = max(self.longest, now - (self.began or now))
         self.writing, self.began = [], None
-        self.commits += 1
         self.trouble, self.wait = "", FIRST_WAIT
         return done
 
--- a/wellhitch/trunk/frames.py
+++ b/wellhitch/trunk/frames.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-
 NUMBERS = 1 << 16  # exchanges are numbered below it, as sheets say
 MOST_WIDTH = 64  # circuits of one dialogue, as sheets say
 
@@ -258,5 +257,3 @@
 )
 """Reasons of a PushBack: no circuit left at the far end (glare); the tandem turned it back; the processor beyond
 the tandem was full; this processor is full; all lines of the number are busy; it failed; no such office."""
-
-ROLES = ("caller", "call_server", "office", "register", "centre", "operator")
