The ledger listens to its roster alone, and answers any range

Seen: an agreement was kept, and its words said again every 5 s, for each month that anybody named who called himself a call server; he was told rows too. A range whose ends are swapped raised IndexError and cost the peer's link. Ruled out: Agreement.heard, which skips strangers, once it is made. At fault: Desk.heard_from, Collection.bounds. Tests failed before: 33 agreements from 33 words of a stranger; none now.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -35,7 +35,17 @@
     period_of,
     previous_of,
 )
-from wellhitch.ledger.reconcile import AGAIN, Allowance, Collection, Differ, Fetch, Look, Pull, answer
+from wellhitch.ledger.reconcile import (
+    AGAIN,
+    Allowance,
+    Collection,
+    Differ,
+    Fetch,
+    Look,
+    Part,
+    Pull,
+    answer,
+)
 from wellhitch.ledger.settle import SLACK, Views, gather
 from wellhitch.store.records import Change
 
@@ -475,3 +485,13 @@
     for now in range(0, 10 * SECOND, SECOND // 100):
         sent += 300 if allowance.may(300, now) else 0
     assert 9_000 <= sent <= 10_000
+
+
+@given(st.binary(max_size=3), st.binary(max_size=3), st.integers(0, 40))
+def test_any_range_that_is_asked_about_is_answered(low: bytes, high: bytes, count: int) -> None:
+    """Ends that are swapped raised in the middle of an answer, and cost the link to the peer."""
+    mine = Collection()
+    mine.extend((bytes((n, n)), bytes((n,)) * 16) for n in range(count))
+    mine_part = mine.part(low, high)
+    assert mine_part.count >= 0
+    answer(mine, Look("x", (Part(low, high, 7, b"other"),)))
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -5,6 +5,7 @@
 from itertools import pairwise
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -31,7 +32,7 @@
     read_file,
     read_receipt,
 )
-from wellhitch.ledger.periods import MARGIN, end_of
+from wellhitch.ledger.periods import MARGIN, Prepare, end_of
 from wellhitch.ledger.rating import (
     CENT,
     NoPrice,
@@ -43,6 +44,7 @@
     rated,
     to_cents,
 )
+from wellhitch.ledger.reconcile import Look, Part
 from wellhitch.ledger.settle import Settled
 from wellhitch.stand_ins.accounting import Accounting, Ills
 from wellhitch.store.engine import StoreFault
@@ -438,3 +440,15 @@
     for what in ("prices[0].from_day = 'soon'", "set_up = -1", "step_s = 7", "prices[2]: a from"):
         assert what in told
     assert faults_of(TARIFF) == [] and ChainName(1, 2) < ChainName(1, 3)
+
+
+def test_what_a_stranger_says_is_neither_answered_nor_kept() -> None:
+    """An agreement was kept, and its words sent again every 5 s, for each month that anybody named."""
+    one = OneDesk(number=3, roster=(3, 4))
+    for year in range(2027, 2060):
+        one.desk.heard_from(9, msgspec.msgpack.encode(Prepare(f"{year}-01", (1, 9))))
+    one.desk.heard_from(9, msgspec.msgpack.encode(Look("all/2026-12", (Part(b"", b"", 0, b""),))))
+    assert not one.desk.agreements and one.desk.counts["ledger_strange_message"] == 34
+    assert not one.desk.counts["ledger_bytes_sent"]
+    one.desk.heard_from(4, msgspec.msgpack.encode(Prepare("2027-01", (1, 4))))
+    assert list(one.desk.agreements) == ["2027-01"]
--- a/wellhitch/ledger/desk.py
+++ b/wellhitch/ledger/desk.py
@@ -457,9 +457,13 @@
         return self.send_bytes(to, data)
 
     def heard_from(self, sender: int, data: bytes) -> None:
-        """Bytes of another instance's. What is no message is skipped and counted."""
+        """Bytes of another instance's. What is no message, or of one that keeps no ledger with this one, is skipped and
+        counted: whoever reaches the door may call himself a call server."""
         if self.book is None:
             return
+        if sender not in self.roster:
+            self.counts["ledger_strange_message"] += 1
+            return
         try:
             message = MESSAGE.decode(data)
         except (msgspec.MsgspecError, ValueError, RecursionError):
--- a/wellhitch/ledger/reconcile.py
+++ b/wellhitch/ledger/reconcile.py
@@ -113,8 +113,9 @@
         return self.digests[at] if at < len(self.keys) and self.keys[at] == key else None
 
     def bounds(self, low: Key, high: Key) -> tuple[int, int]:
-        """Places of a range."""
-        return bisect_left(self.keys, low), bisect_left(self.keys, high) if high else len(self.keys)
+        """Places of a range; one whose ends are swapped, which nobody but a stranger asks about, is empty."""
+        a = bisect_left(self.keys, low)
+        return a, max(a, bisect_left(self.keys, high)) if high else len(self.keys)
 
     def part(self, low: Key, high: Key) -> Part:
         """What this end has in a range."""
