--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -452,3 +452,9 @@
     assert not one.desk.counts["ledger_bytes_sent"]
     one.desk.heard_from(4, msgspec.msgpack.encode(Prepare("2027-01", (1, 4))))
     assert list(one.desk.agreements) == ["2027-01"]
+
+
+@pytest.mark.parametrize("day", ["20261201", "2026-W49-2", "2026-12-1", "soon", ""])
+def test_a_day_of_a_price_is_written_in_one_way(day: str) -> None:
+    """Days are compared as text: 20261201 was taken for a day, and its price never began."""
+    assert any("from_day" in line for line in faults_of(Tariff("BRL", [Price("a", day, 1)])))
--- a/wellhitch/ledger/rating.py
+++ b/wellhitch/ledger/rating.py
@@ -46,8 +46,11 @@
     out, seen = [], set[tuple[str, str, str]]()
     for at, one in enumerate(tariff.prices):
         try:
-            date.fromisoformat(one.from_day)
+            # In this one way and no other that a date may be written: days are compared as text.
+            plain = date.fromisoformat(one.from_day).isoformat() == one.from_day
         except ValueError:
+            plain = False
+        if not plain:
             out.append(f"prices[{at}].from_day = {one.from_day!r}: a day such as 2026-12-01")
         for name in ("set_up", "a_minute"):
             if not 0 <= getattr(one, name) <= 10**12:
