--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -222,3 +222,30 @@
     file.write_text(json.dumps(value))
     code, text = said("day", "from-bench", str(file))
     assert code == 2 and said_so in text
+
+
+@pytest.mark.parametrize(
+    ("change", "said_so"),
+    [
+        ({"rules": {**RULES, "release_wait": "9" * 400 + "s"}}, "rules.release_wait"),
+        ({"rules": {**RULES, "cold_for": "99999999999s"}}, "rules.cold_for"),
+        ({"use_cases": [{**USES[0], "outer_limit": "1" + "0" * 18 + "us"}]}, "outer_limit"),
+        ({"use_cases": [{**USES[0], "payoff": 1e300}]}, "payoff"),
+        ({"rules": {**RULES, "cold_multiple": 1e300}}, "cold_multiple"),
+        ({"seed": 1 << 80}, "seed"),
+        ({"limits": {"most_dials": 1 << 70}}, "most_dials"),
+        ({"use_cases": [{**USES[0], "name": "x" * 100_000}]}, "name"),
+    ],
+)
+def test_figures_beyond_all_sense_are_told_with_their_field(change: dict[str, Any], said_so: str) -> None:
+    """A span of 400 digits was a traceback; one of 10^18 us an answer that cannot be sent."""
+    with pytest.raises(Faults, match=said_so):
+        sheet.check(checked.read({**SHEET, **change}, sheet.Sheet, "x"), "x")
+
+
+@pytest.mark.parametrize("number", ["\u00b2", "9" * 5000, "-1", ""])
+def test_a_days_calls_go_to_numbers_of_its_own(number: str) -> None:
+    plain = msgspec.to_builtins(day())
+    plain["exchanges"][0]["calls"] = {number: 1.0}
+    with pytest.raises(Faults, match="no such exchange"):
+        check(checked.read(plain, Day, "x"), "x")
--- a/wellhitch/settings/day.py
+++ b/wellhitch/settings/day.py
@@ -160,6 +160,7 @@
     lines = []
     numbers = [one.number for one in day.exchanges]
     known = set(numbers)
+    names = {str(n) for n in known}
     if not numbers:
         lines.append("exchanges = []: one at least")
     lines += use_case_faults(day.use_cases)
@@ -168,9 +169,9 @@
         if span(one.setup) <= 0:
             lines.append(f"exchanges[{at}].setup = {one.setup!r}: over 0")
         lines += [
-            f"exchanges[{at}].calls.{to} = {rate}: no such exchange"
+            f"exchanges[{at}].calls.{to[:40]} = {rate}: no such exchange"
             for to, rate in one.calls.items()
-            if not to.isdigit() or int(to) not in known
+            if to not in names
         ]
     pairs = set()
     for at, group in enumerate(day.groups):
--- a/wellhitch/settings/sheet.py
+++ b/wellhitch/settings/sheet.py
@@ -11,10 +11,15 @@
 from wellhitch.settings.checked import Faults
 from wellhitch.trunk.frames import MOST_WIDTH, NUMBERS
 
+# Up to eleven days, whatever the unit: longer ones mean nothing here, and what they add up to must fit a frame.
 Span = Annotated[
-    str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+)?(us|ms|s)$", description="such as 250ms or 1.5s")
+    str,
+    msgspec.Meta(
+        pattern=r"^([0-9]{1,12}(\.[0-9]{1,18})?us|[0-9]{1,9}(\.[0-9]{1,18})?ms|[0-9]{1,6}(\.[0-9]{1,18})?s)$",
+        description="such as 250ms or 1.5s",
+    ),
 ]
-Count = Annotated[int, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^$|^.+:[0-9]+$")]
 
@@ -32,8 +37,8 @@
 class UseCaseLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One use case, as `interface.facts.UseCase` words it."""
 
-    name: str
-    payoff: Annotated[float, msgspec.Meta(ge=0)]
+    name: Annotated[str, msgspec.Meta(max_length=64)]
+    payoff: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
     agreed_time: Span
     outer_limit: Span
     late_share: Share = 0.0
@@ -46,7 +51,7 @@
 class LimitLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What this deployment lets a call server do."""
 
-    most_dials: Annotated[int, msgspec.Meta(ge=1)] = 5
+    most_dials: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 5
     may_cancel: bool = True
     may_probe: bool = False
     may_tell_peers: bool = False
@@ -62,7 +67,7 @@
     drain_grace: Span
     cold_share: Annotated[float, msgspec.Meta(gt=0, le=1)]
     cold_for: Span
-    cold_multiple: Annotated[float, msgspec.Meta(gt=0)]
+    cold_multiple: Annotated[float, msgspec.Meta(gt=0, le=1000)]
     cold_window: Span
 
 
