--- a/wellhitch/adapter/codec.py
+++ b/wellhitch/adapter/codec.py
@@ -196,8 +196,6 @@
             return ["Fail", who, dialogue]
         case actions.Wake(after, token):
             return ["Arm", who, nanos(after), token]
-        case actions.Probe(office):
-            return ["AskLoad", who, office]
         case actions.TellPeers(text):
             return ["Signal", who, -1, text.hex()]
         case actions.Follow():
--- a/wellhitch/interface/actions.py
+++ b/wellhitch/interface/actions.py
@@ -43,13 +43,6 @@
     token: int
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Ask an office for its report."""
-
-    office: str
-
-
 @dataclass(frozen=True, slots=True)
 class TellPeers:
     """Send every other call server a short message."""
@@ -62,4 +55,4 @@
     """Ask discovery for changes from now on."""
 
 
-Action = Send | Cancel | PushBack | Forfeit | Wake | Probe | TellPeers | Follow
+Action = Send | Cancel | PushBack | Forfeit | Wake | TellPeers | Follow
--- a/wellhitch/server/dials.py
+++ b/wellhitch/server/dials.py
@@ -57,7 +57,6 @@
     dials: dict[int, DialOut] = field(default_factory=dict)
     passing: dict[int, DialOut] = field(default_factory=dict)
     transits: dict[int, Taken] = field(default_factory=dict)
-    probed: Timer | None = None
     differs_since: int | None = None
 
     def ref(self) -> int:
@@ -146,11 +145,6 @@
     return "lines_busy" if taken.last_blame is Blame.LINES_BUSY else "turned_back"
 
 
-def as_event_entry(end: OfficeEnd) -> tuple[str, int, Standing, int | None]:
-    """The fields of a list entry for the decisions."""
-    return end.id, end.number, end.standing, end.started
-
-
 def load_of(load: frames.Load | None) -> tuple[float | None, int | None, float | None, float | None]:
     """A load report's figures, None where not told. Guards against what is no figure, or under nought: NaN is neither
     over a bound nor under it, and made a price nought even beside 'full'."""
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -41,7 +41,6 @@
 # changes them four times, and fresher counts than a set-up's way are of no use
 STARTED_SLACK = 500_000  # us; two ages of one start differ by their frames' ways; a restart by more
 MAX_TEXT = 64  # characters of a number called or a tenant; the longest numbers have fifteen digits
-PROBE_TIMEOUT = 250_000  # us; a processor that answers later than this tells nothing that a dial does not
 
 
 class Outlet(Protocol):
@@ -199,8 +198,6 @@
                     self._answer(self.taken[dialogue], "forfeited", 0, now)
             case act.Wake(after, token):
                 self.outlet.timer(after, lambda at: self._feed(ev.Rang(token), at))
-            case act.Probe(office):
-                self._probe(office, now)
             case act.TellPeers(text):
                 self.outlet.tell_peers(text)
             case act.Follow():
@@ -679,9 +676,6 @@
     def load_told(self, office: str, frame: frames.LoadReport, now: int) -> None:
         """A processor told its figures."""
         end = self.offices[office]
-        if end.probed:
-            end.probed.cancel()
-            end.probed = None
         self._feed(ev.Reported(office, frame.asked, True, self._report(end.number, frame.load)), now)
 
     def _heard_load(self, office: str, load: frames.Load | None, now: int) -> None:
@@ -689,19 +683,6 @@
             report = self._report(self.offices[office].number, load)
             self._feed(ev.Reported(office, False, True, report), now)
 
-    def _probe(self, office: str, now: int) -> None:
-        end = self.offices.get(office)
-        if end is None or end.probed:
-            return
-
-        def unanswered(at: int) -> None:
-            if end.probed:
-                end.probed = None
-                self._feed(ev.Reported(office, True, False, ev.Report()), at)
-
-        self.outlet.to_office(office, frames.Probe())
-        end.probed = self.outlet.timer(PROBE_TIMEOUT, unanswered)
-
     # ---- groups ----
 
     def group_told(self, office: str, frame: frames.GroupState, now: int) -> None:
