--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -86,3 +86,41 @@
 @pytest.mark.parametrize(("digits", "read"), [("0102", b"\x01\x02"), ("010", b""), ("zz", b""), (None, b"")])
 def test_a_message_of_a_peer_that_is_no_hex_is_read_as_empty(digits, read):
     assert codec.read_bytes(digits) == read
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        '{"at_time_ns":1,"n":1,"in":[["Table",0]]}',
+        '{"at_time_ns":1,"n":1,"in":[["Table",0,5]]}',
+        '{"at_time_ns":1,"n":1,"in":[["Table",0,[]],["Fleet",4,[],"Complete",1]]}',
+        '{"at_time_ns":1,"n":1,"in":[[{},4]]}',
+        "[" * 100_000,
+        '{"at_time_ns":true,"n":1,"in":[]}',
+        '{"at_time_ns":' + "9" * 5000 + ',"n":1,"in":[]}',
+    ],
+)
+def test_odd_lines_end_in_a_plain_word_or_a_reply(line):
+    sink, errors = io.StringIO(), io.StringIO()
+    assert serve(io.StringIO(line + "\n"), sink, errors) in (0, 1)
+    assert sink.getvalue().count("\n") + errors.getvalue().count("\n") == 1
+
+
+def test_bytes_that_are_no_text_and_a_reader_that_is_gone_end_in_a_plain_word():
+    sink, errors = io.StringIO(), io.StringIO()
+    source = io.TextIOWrapper(io.BytesIO(b'{"n":1}\xff\xfe\n'), encoding="utf-8")
+    assert serve(source, sink, errors) == 1 and "no text" in errors.getvalue()
+
+    class Gone(io.StringIO):
+        def flush(self):
+            raise BrokenPipeError
+
+    errors = io.StringIO()
+    assert serve(io.StringIO('{"at_time_ns":1,"n":1,"in":[]}\n'), Gone(), errors) == 1
+    assert "nobody reads" in errors.getvalue()
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1, "x", [], True])
+def test_a_figure_that_is_none_was_not_told(value):
+    report = codec.read_report({"spare": value, "total": value, "busy": value, "lat_ms": value})
+    assert report.free is None and report.size is None and report.utilisation is None and report.wait is None
--- a/wellhitch/adapter/codec.py
+++ b/wellhitch/adapter/codec.py
@@ -49,13 +49,16 @@
 
 
 def read_report(values: Any) -> events.Report:
-    """Load report; a value below 0 was not told, and keys not known are skipped."""
+    """Load report; a value below 0, or no figure, was not told, and keys not known are skipped."""
     if not isinstance(values, dict):
         return events.Report()
 
     def told(key: str) -> float | None:
         value = values.get(key)
-        return None if value is None or value < 0 else float(value)
+        # NaN passes JSON's reader and compares with nothing.
+        if isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < 1e15:
+            return float(value)
+        return None
 
     free, size, wait = told("spare"), told("total"), told("lat_ms")
     return events.Report(
--- a/wellhitch/adapter/host.py
+++ b/wellhitch/adapter/host.py
@@ -33,11 +33,11 @@
     def take(self, now: int, m: list[Any], out: list[list[Any]]) -> None:
         """Take one message; an unknown name is skipped."""
         name = m[0]
-        if name == "Table":
-            self.tables[m[1]] = m[2] or []
-            return
         who = m[1]
         try:
+            if name == "Table":
+                self.tables[m[1]] = m[2] or []
+                return
             if name == "Create":
                 self.exchanges[who] = Exchange()
             elif name == "PowerOff":
@@ -67,17 +67,25 @@
 
 
 def serve(source: TextIO, sink: TextIO, errors: TextIO) -> int:
-    """Answer batches line by line until the input ends; the return value is the exit status."""
+    """Answer batches line by line until the input ends; the return value is the exit status, 1 where the input is no
+    batch or nobody reads the replies any more."""
     host, last = Host(), "none"
-    for line in source:
+    while True:
         try:
+            try:
+                line = source.readline()
+            except UnicodeDecodeError as fault:
+                raise BadBatch(f"no text: {fault}") from None
+            if not line:
+                return 0
             try:
                 batch = json.loads(line)
-            except ValueError as fault:
+            except (ValueError, RecursionError) as fault:
                 raise BadBatch(f"not JSON: {fault}") from None
             if not isinstance(batch, dict) or not isinstance(batch.get("in"), list):
                 raise BadBatch("not an object with a list 'in'")
-            if not isinstance(batch.get("at_time_ns"), int) or "n" not in batch:
+            clock = batch.get("at_time_ns")
+            if not isinstance(clock, int) or isinstance(clock, bool) or "n" not in batch:
                 raise BadBatch("no clock or no number")
             if not all(isinstance(m, list) and len(m) > 1 and isinstance(m[1], int) for m in batch["in"]):
                 raise BadBatch("an event is not a list with a name and an instance")
@@ -86,6 +94,9 @@
             return 1
         last = str(batch["n"])
         reply = {"n": batch["n"], "outbox": host.play(batch)}
-        sink.write(json.dumps(reply, separators=(",", ":")) + "\n")
-        sink.flush()
-    return 0
+        try:
+            sink.write(json.dumps(reply, separators=(",", ":")) + "\n")
+            sink.flush()
+        except BrokenPipeError:
+            print(f"batch {last}: nobody reads the reply", file=errors, flush=True)
+            return 1
