The module's edges: no bound of nought, no destination counted from the end

Seen: a shortest agreed time under 4 us made the bound of a delay nought, by which load_of divides; a destination under nought was looked up from the end of a peer's word, or raised IndexError with the dial half placed. Ruled out: sheets, which allow neither; the adapter passes both. At fault: opened, place_dialogue, told_room.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -470,3 +470,24 @@
         return [rules.decide(x, arrival, n) for n, arrival in enumerate(arrivals)]
 
     assert run() == run()
+
+
+def test_a_shortest_agreed_time_of_nothing_leaves_a_bound(exchange):
+    """A quarter of it is the bound of a delay, by which is divided."""
+    use = UseCase("at-once", 1.0, 0.0, 0, SECOND, 1, SECOND, (), True, 0)
+    opened = Opened(1, (use,), exchange.place, exchange.permissions, exchange.release, exchange.cold)
+    x = Exchange()
+    rules.decide(x, opened, 0)
+    assert x.bound_delay == 1 and rules.load_of(x.bound_delay, None, 5, None, 0) == 5.0
+
+
+@pytest.mark.parametrize("told", [[], [3, 3, 3]])
+def test_a_destination_under_nought_is_in_nobodys_words(exchange, new_dialogue, told):
+    """Counted from the end it would be another's, or none: an IndexError in the middle of a dial."""
+    exchange.place = Place(None, 2, False, 0)
+    use = UseCase("any", 1.0, 0.2, SECOND, 9 * SECOND, 1, SECOND, (1,), True, 0)
+    exchange.by_number[1].told, exchange.by_number[1].told_at = list(told), 0
+    dialogue = new_dialogue(use, destination=-1)
+    [sent] = rules.place_dialogue(exchange, dialogue, 0)
+    assert isinstance(sent, Send) and exchange.by_number[1].told == told
+    assert rules.told_room(exchange, exchange.by_number[1], -1, 0) is None
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -57,7 +57,8 @@
     x.place, x.permissions, x.release, x.cold = event.place, event.permissions, event.release, event.cold
     x.unit = min((use.payoff for use in event.use_cases if use.payoff > 0), default=1.0)
     # Two processors at their bound take half the shortest agreed time; the rest is left to chance.
-    x.bound_delay = min((use.agreed_time for use in event.use_cases), default=SECOND) // 4
+    # One at least: it is divided by.
+    x.bound_delay = max(1, min((use.agreed_time for use in event.use_cases), default=SECOND) // 4)
     x.top = max((use.payoff for use in event.use_cases), default=1.0)
     x.tell_at = now + int(draw(x) * tell_period(event.place.peers))  # not all at once
     return [Wake(INTERVAL, TICK), *([Follow()] if event.place.must_ask else [])]
@@ -260,7 +261,7 @@
     dialogue.dials.append(dial)
     dialogue.out = dial
     office.free -= dialogue.width
-    if not direct and dialogue.destination < len(office.told):
+    if not direct and 0 <= dialogue.destination < len(office.told):  # else counted from the end
         office.told[dialogue.destination] = max(0, office.told[dialogue.destination] - dialogue.width)
     for crossed in {office.number, dialogue.destination}:
         if crossed in x.by_number:
@@ -548,7 +549,7 @@
 
 def told_room(x: Exchange, office: Office, destination: int, now: int) -> int | None:
     """Dialogues that the tandem's second group would take, or None where it was not told of late."""
-    if destination >= len(office.told) or now - office.told_at > 3 * tell_period(x.place.peers):
+    if not 0 <= destination < len(office.told) or now - office.told_at > 3 * tell_period(x.place.peers):
         return None
     return office.told[destination]
 
