--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -12,7 +12,7 @@
 from wellhitch.interface import events as ev
 from wellhitch.interface.facts import ColdRule, Permissions, Place, ReleaseRule
 from wellhitch.server import switch as switch_module
-from wellhitch.server.dials import LEGAL, DialOut, Step, Taken
+from wellhitch.server.dials import LEGAL, MOST_RECENT, DialOut, Recent, Step, Taken
 from wellhitch.server.switch import ANSWER_MARGIN, Switch
 from wellhitch.trunk import frames
 
@@ -483,3 +483,29 @@
     office.price = 0.5
     bench.switch.load_told("o1", frames.LoadReport(frames.Load(figure, -1, figure, figure)), 0)
     assert office.utilisation is None and office.wait is None
+
+
+def test_an_id_or_ref_that_comes_again_is_skipped_whether_its_dialogue_is_open_or_over(bench: Bench) -> None:
+    """A frame told twice, the second after the answer: it was taken for a new dialogue and answered again."""
+    bench.call(id=7, destination=9)
+    bench.call(id=7, destination=9)
+    assert bench.finals == ["pushed_back"] and bench.switch.counts["strays.Call"] == 1
+    setup = frames.Setup(5, 2, 77, 0, "cheap", 1, "aa", SECOND, 1)
+    bench.switch.transit("o0", setup, 0)
+    bench.switch.transit("o0", setup, 0)
+    assert not bench.of(frames.PushBack) and len(bench.switch.taken) == 1
+    bench.switch.transit_over("o0", 5, 0)
+    bench.switch.transit("o0", setup, 0)
+    assert (
+        not bench.of(frames.PushBack) and not bench.switch.taken and bench.switch.counts["strays.Setup"] == 2
+    )
+    bench.switch.caller_lost("link", 0)
+    bench.call(id=7, destination=9)  # a new link may begin again
+    assert bench.finals == ["pushed_back"] * 2
+
+
+def test_ids_that_are_over_are_remembered_up_to_a_bound() -> None:
+    ids = Recent()
+    for n in range(3 * MOST_RECENT):
+        ids.add(n)
+    assert 3 * MOST_RECENT - 1 in ids and 0 not in ids and len(ids) == MOST_RECENT
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -23,6 +23,7 @@
     STANDINGS,
     DialOut,
     OfficeEnd,
+    Recent,
     Step,
     Taken,
     Timer,
@@ -103,6 +104,7 @@
         self.counts: Counter[str] = Counter()
         self.taken: dict[int, Taken] = {}
         self.by_caller: dict[tuple[Hashable, int], Taken] = {}
+        self.over: dict[Hashable, Recent] = {}
         self.offices: dict[str, OfficeEnd] = {}
         self.groups: dict[int, Group] = {}
         self.advice: list[int] = []
@@ -207,13 +209,14 @@
 
     def call(self, link: Hashable, call: frames.Call, now: int) -> None:
         """A caller hands a dialogue over."""
-        key = (link, call.id)
-        if key in self.by_caller:
+        key, over = (link, call.id), self.over.setdefault(link, Recent())
+        if key in self.by_caller or call.id in over:
             # An answer would be taken for the first one's, which then had two: the id is the caller's to keep apart.
             self.counts["strays.Call"] += 1
             return
         fault = self._call_fault(call)
         if fault:
+            over.add(call.id)
             # Turned away before it is taken, as the limits of this place say; it still gets its one answer.
             self.counts[f"turned_away.{fault}"] += 1
             self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0))
@@ -222,6 +225,7 @@
         if self.hooked:
             said, version = self.hooked.arrives(call, len(self.taken), self.groups, now)
         if said.push_back is not None:
+            over.add(call.id)
             self.counts["hooks_pushed_back"] += 1
             self.outlet.to_caller(link, frames.Final(call.id, "pushed_back", 0, version))
             self.outlet.log("dialogue", id=call.id, answer="pushed_back", why=said.push_back, hooks=version)
@@ -296,6 +300,7 @@
         """A caller's link is gone: all its dialogues are hung up."""
         for taken in [taken for (key, _), taken in self.by_caller.items() if key == link]:
             self._left(taken, now)
+        self.over.pop(link, None)
 
     def _left(self, taken: Taken, now: int) -> None:
         """The upstream end is over, whoever it was."""
@@ -406,8 +411,11 @@
         self.taken.pop(taken.id, None)
         if taken.link is not None:
             self.by_caller.pop((taken.link, taken.caller_id), None)
+            if taken.link in self.over:
+                self.over[taken.link].add(taken.caller_id)
         elif taken.home is not None:
             taken.home.transits.pop(taken.home_ref, None)
+            taken.home.over.add(taken.home_ref)
 
     # ---- dials ----
 
@@ -643,8 +651,12 @@
     def transit(self, office: str, setup: frames.Setup, now: int) -> None:
         """The own office hands over a dialogue in transit."""
         home = self.offices[office]
-        wrong = setup.ref in home.transits or home.number != self.number or len(self.taken) >= self.max_open
-        if wrong or self._setup_fault(setup):
+        if setup.ref in home.transits or setup.ref in home.over:
+            # As with a caller's id: an answer to the second would be one more to the first.
+            self.counts["strays.Setup"] += 1
+            return
+        if home.number != self.number or len(self.taken) >= self.max_open or self._setup_fault(setup):
+            home.over.add(setup.ref)
             self.counts["turned_away.transit"] += 1
             self.outlet.to_office(office, frames.PushBack(setup.ref, "turned_back"))
             return
@@ -759,7 +771,7 @@
         end = self.offices.get(office)
         if end is None:
             return
-        end.up, end.boot, end.differs_since = True, boot, None
+        end.up, end.boot, end.differs_since, end.over = True, boot, None, Recent()
         if end.number == self.number:
             self._untold.update(number for number in self.groups if number != self.number)
             if self._untold and self._tell_timer is None:
