The stand-in accounting side puts aside what is no file of ours

Seen: a directory, a pipe, or a name with a superscript two in its folder ended it with a traceback, or held it up for ever. Ruled out: files that are cut, refused before. At fault: cli/ledger.py accounting. The test failed before with IsADirectoryError.

--- a/tests/test_ledger_tools.py
+++ b/tests/test_ledger_tools.py
@@ -159,3 +159,18 @@
     assert "1 files booked" not in said.output  # the second time it was only answered again
     key.write_text("short")
     assert "ledger.export_key" in told("accounting", tmp_path / "way", "--key", key, "--once").output
+
+
+def test_what_is_no_file_of_ours_holds_up_no_other_in_the_accounting_folder(tmp_path: Path) -> None:
+    key = tmp_path / "key"
+    key.write_text(KEY.hex())
+    box = FolderBox(tmp_path / "way", 3)
+    made = lines_of("2026-12", [Settled((3, 1), "billed", SECOND, ended=DECEMBER)], {})
+    box.put(1, make_file(KEY, 3, 1, "2026-12", made, START))
+    (tmp_path / "way" / "out" / "\u00b2-1.wh").write_bytes(b"x")
+    (tmp_path / "way" / "out" / "1-1.wh").mkdir()
+    os.mkfifo(tmp_path / "way" / "out" / "2-1.wh")
+    said = told("accounting", tmp_path / "way", "--key", key, "--once")
+    assert "1 files booked" in said.output and said.exit_code == 0
+    for name in ("\u00b2-1.wh", "1-1.wh", "2-1.wh"):
+        assert f"{name}: put aside" in said.output
--- a/wellhitch/cli/ledger.py
+++ b/wellhitch/cli/ledger.py
@@ -3,6 +3,7 @@
 import csv
 import io
 import random
+import re
 import socket
 import sys
 import time
@@ -25,6 +26,7 @@
 from wellhitch.net.seam import split
 from wellhitch.settings.checked import Faults
 from wellhitch.settings.checked import read as read_settings
+from wellhitch.settings.files import read_file
 from wellhitch.settings.sheet import Sheet
 from wellhitch.settings.template import evaluate
 from wellhitch.stand_ins.accounting import Accounting, Ills
@@ -325,9 +327,18 @@
     count = 0
     while True:
         for path in sorted((folder / "out").glob("*-*.wh")):
-            instance = int(path.name.partition("-")[0])
+            number = re.fullmatch("([0-9]{1,5})-[0-9]+[.]wh", path.name)
+            try:
+                if not number:
+                    raise OSError("not named INSTANCE-SEQUENCE.wh")
+                data = read_file(path)
+            except OSError as fault:
+                click.echo(f"{path}: put aside: {fault.strerror or fault}", err=True)
+                path.rename(path.with_name(f"{path.name}.bad"))
+                continue
+            instance = int(number[1])
             side.keys[instance] = both
-            for said in side.hand_over(instance, path.read_bytes()):
+            for said in side.hand_over(instance, data):
                 count += 1
                 put_whole(folder / "back" / f"{instance}-{time.time_ns()}-{count:04}.wr", said)
             path.unlink()
