--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -1,17 +1,25 @@
 """The daemon's doors on the emulated network: operators, peers, offices that are not who the list says."""
 
 import asyncio
+import random
+import typing
+from collections.abc import Callable
 from typing import Any, cast
 
+import msgspec
 import pytest
 from world import Hand, day
 
+from wellhitch.emulator.disk import EmulatedDisk
 from wellhitch.emulator.loop import VirtualLoop
 from wellhitch.emulator.network import EmulatedNetwork
 from wellhitch.lab.fleet import HostAddresses, sheet_of
+from wellhitch.ledger.desk import Desk
+from wellhitch.ledger.entries import NumberKeys
 from wellhitch.server.daemon import Daemon, Doors
 from wellhitch.settings.sheet import opened
 from wellhitch.trunk import frames
+from wellhitch.trunk.link import MAY_SAY
 from wellhitch.trunk.port import Port
 
 
@@ -39,7 +47,7 @@
 class Door:
     """A call server at exchange 0 whose doors are knocked at."""
 
-    def __init__(self, **over: Any) -> None:
+    def __init__(self, ledger: bool = False, **over: Any) -> None:
         self.loop = VirtualLoop()
         self.faults: list[str] = []
         self.loop.set_exception_handler(lambda loop, context: self.faults.append(str(context)))
@@ -50,11 +58,16 @@
         hooks = {"a": "on arrive { return none }"}
         self.daemon = Daemon(
             self.loop, self.net.at("s"), facts, doors, 10, 1, lambda event, **facts: self.said.append(event),
-            hooks=hooks,
+            hooks=hooks, ledger=self.desk if ledger else None,
         )  # fmt: skip
         self.daemon.start()
         self.loop.advance(0.1)
 
+    def desk(self, loop: Any, send: Any, log: Any) -> Desk:
+        keys, wall = NumberKeys({1: b"k" * 32}), 1_796_083_200_000_000
+        disk = EmulatedDisk(1, loop)
+        return Desk(loop, disk, 0, (0, 1), keys, lambda now: now + wall, send, log, random.Random(1))
+
     def operator(self) -> Asking:
         asking = Asking()
         self.net.at("o").connect("s:3", lambda: asking, print)
@@ -134,3 +147,70 @@
     standing = "ready" if kind == "odd" else "broken"
     door.listed(frames.ListLine("o1", 1, standing, None, "o1:1", "p1:1"), kind=kind)
     assert not door.daemon.peer_links and door.daemon.switch.counts["lists_malformed"] == 1
+
+
+INTS = [0, 1, 2, 5, -1, 63, 64, 65, 1 << 16, 1 << 31, 1 << 53, (1 << 63) - 1, -(1 << 63), (1 << 64) - 1]
+TEXTS = ["", "cheap", "o0", "o1", "ready", "draining", "gone", "whole", "changes", "setup", "answer", "released", "cut",
+         "x" * 3000, "\u00b2", "\x00", "p1:1", "turned_back"]  # fmt: skip
+FLOATS = [0.0, 0.5, 1e308, -1.0, float("nan"), float("inf"), float("-inf")]
+
+
+def any_value(wanted: Any, chance: random.Random) -> Any:
+    """A value of a frame's field, whatever its type lets through."""
+    origin, args = typing.get_origin(wanted), typing.get_args(wanted)
+    if origin is list:
+        return [any_value(args[0], chance) for _ in range(chance.choice([0, 1, 3]))]
+    if args:  # a union
+        return any_value(chance.choice(args), chance)
+    if wanted is type(None):
+        return None
+    if isinstance(wanted, type) and issubclass(wanted, msgspec.Struct):
+        return any_frame(wanted, chance)
+    choices: dict[Any, Callable[[], Any]] = {
+        int: lambda: chance.choice(INTS),
+        str: lambda: chance.choice(TEXTS),
+        float: lambda: chance.choice(FLOATS),
+        bool: lambda: chance.random() < 0.5,
+        bytes: lambda: chance.randbytes(chance.choice([0, 1, 2, 40])),
+    }
+    return choices[wanted]()
+
+
+def any_frame(kind: type[Any], chance: random.Random) -> Any:
+    hints = typing.get_type_hints(kind)
+    return kind(**{one.name: any_value(hints[one.name], chance) for one in msgspec.structs.fields(kind)})
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_any_frames_that_a_party_may_say_raise_nothing_and_stop_nobody(seed: int) -> None:
+    """Whatever the types let through, from every party at once, in any order."""
+    chance = random.Random(seed)
+    door = Door(limits={"may_tell_peers": True}, ledger=seed % 2 == 0)
+    hands = {
+        "office": [door.party(f"o{n}:1", frames.Hello("office", n, 1)) for n in range(3)],
+        "register": [door.party("register:1", frames.Hello("register", -1, 1))],
+        "call_server": [door.party("p1:1", frames.Hello("call_server", 1, 1))],
+        "caller": [Hand()],
+    }
+    caller = frames.Hello("caller", 0, 1)
+    door.net.at("c").connect(
+        "s:1", lambda: Port(door.loop, hands["caller"][0], caller, ("call_server",)), print
+    )
+    door.loop.advance(5.0)
+    lines = [frames.ListLine(f"o{n}", n, "ready", None, f"o{n}:1", f"p{n}:1" if n else "") for n in range(3)]
+    known = frames.List("whole", 1, lines)
+    for _ in range(150):
+        role = chance.choice(list(hands))
+        ports = [hand.up[-1] for hand in hands[role] if hand.up]
+        if role == "register" and chance.random() < 0.5:
+            frame: Any = known
+        else:
+            frame = any_frame(chance.choice(MAY_SAY[role, "call_server"]), chance)
+            if isinstance(frame, frames.Call) and chance.random() < 0.5:
+                frame = msgspec.structs.replace(frame, use_case="cheap", destination=1, width=1, left=10**6)
+        if ports:
+            chance.choice(ports).send(frame)
+        door.loop.advance(chance.choice([0.001, 0.01, 0.3]))
+    assert not door.faults, door.faults[0][:600]
+    assert not door.daemon.switch.counts["decision_faults"] and not door.daemon.switch.counts["ledger_faults"]
+    assert b'"number": 0' in door.ask(b"status\n") and b"wellhitch_held" in door.ask(b"metrics\n")
