--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -214,6 +214,13 @@
     assert bench.finals == ["pushed_back"] and bench.free() == 10
 
 
+def test_a_setup_that_waits_here_is_taken_back_when_its_dial_is_over(bench: Bench) -> None:
+    """Else it went out once the office reads again, for a dialogue that is answered or dialled elsewhere."""
+    bench.out.waiting.append(bench.dial())
+    bench.run(4 * SECOND)
+    assert bench.out.waiting == [] and not bench.of(frames.Cancel) and bench.free() == 10
+
+
 def test_a_setup_in_the_own_processor_is_kept_back_when_its_office_drains(bench: Bench) -> None:
     bench.call()
     bench.told("ready", "draining", "ready", revision=2)
