A call server with a ledger stops at once, and says well

Ruled out: the disk, whose commit took a millisecond. At fault: serve.py, which set the word that the ledger is closed only after Daemon.stop had closed it.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -18,6 +18,7 @@
 from wellhitch.hooks.keeping import read
 from wellhitch.lab.fleet import LoopbackAddresses, sheet_of
 from wellhitch.lab.play import play_sockets
+from wellhitch.settings.sheet import LedgerLine
 
 PATIENCE_S = 60.0  # a test that has waited so long has failed
 
@@ -152,3 +153,23 @@
         process.kill()
     found, words = read((tmp_path / "kept").read_bytes(), 0)
     assert words == [] and "ticks" in found["a"].values
+
+
+def test_a_call_server_with_a_ledger_stops_when_told_to_and_loses_nothing(tmp_path: Path) -> None:
+    """The one word that all is on disk was said to nobody: each stop took 10 s and ended in a traceback."""
+    addresses = LoopbackAddresses()
+    made = sheet_of(small(), 0, addresses)
+    made = msgspec.structs.replace(made, ledger=LedgerLine("kept", [0]))
+    (tmp_path / "x.jsonnet").write_bytes(msgspec.json.encode(made))
+    log = tmp_path / "log"
+    with log.open("wb") as out:
+        command = [sys.executable, "-m", "wellhitch", "serve", str(tmp_path / "x.jsonnet")]
+        process = subprocess.Popen(command, stderr=out)
+    try:
+        wait_for(lambda: "store_opened" in log.read_text() and log.read_text().count('"listening"') >= 3)
+        process.terminate()
+        assert process.wait(PATIENCE_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+    assert "ledger_not_closed" not in log.read_text() and "Traceback" not in log.read_text()
--- a/wellhitch/cli/serve.py
+++ b/wellhitch/cli/serve.py
@@ -177,6 +177,9 @@
         ledger=make_desk,
     )
     loop.set_exception_handler(trouble)
+    # Before anything can end: set only at the end, it was said to nobody on a SIGTERM, which closes the ledger itself.
+    closed = asyncio.Event()
+    daemon.ledger_closed = closed.set  # type: ignore[method-assign]
     state = file.parent / sheet.hooks_state if sheet.hooks_state else None
     if state is not None:
         daemon.take_hooks_state(read_state(state, log))
@@ -199,8 +202,6 @@
     if keeping is not None and state is not None:
         keeping.cancel()
         _write(state, daemon.hooks_state(), log)
-    closed = asyncio.Event()
-    daemon.ledger_closed = closed.set  # type: ignore[method-assign]
     daemon.kill()
     if disk:
         try:
