The export folder's files and receipts are cut at each byte

The process dies at each byte of a file it hands over, the accounting side at each byte of a receipt: nothing is taken for whole that is not, nothing is left beside, and one more try ends it. No fault was found.

--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -1,8 +1,10 @@
 """The ledger in service: books beside what stood, exports cut anywhere, tariffs to the cent."""
 
+import os
 import random
 from collections import Counter
 from itertools import pairwise
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -16,6 +18,7 @@
 from wellhitch.lab import ledger_day
 from wellhitch.ledger import export
 from wellhitch.ledger.book import Seen
+from wellhitch.ledger.box import FolderBox
 from wellhitch.ledger.chain import ChainName, read_row
 from wellhitch.ledger.desk import Desk
 from wellhitch.ledger.entries import Lacking, NumberKeys, Over, Restarted, decode
@@ -491,3 +494,51 @@
     again.ahead = 10 * 365 * 86_400 * SECOND
     again.loop.advance(3)
     assert len(again.desk.agreements) < 2
+
+
+def test_the_export_folders_files_cut_at_each_byte(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The process dies at each byte of a file that it hands over, and the accounting side at each byte of a receipt
+    that it writes without care: nothing is taken for whole that is not, and one more try ends it."""
+    data = a_file(lines=1)
+    receipt = make_receipt(KEY, read_file(KEY, data))
+    box, out = FolderBox(tmp_path, 3), tmp_path / "out"
+    (tmp_path / "back").mkdir()
+
+    class Dies(BaseException):
+        pass
+
+    class Half:
+        def __init__(self, path: Path, cut: int) -> None:
+            self.path, self.cut = path, cut
+
+        def __enter__(self) -> "Half":
+            return self
+
+        def __exit__(self, *what: object) -> None:
+            pass
+
+        def write(self, whole: bytes) -> None:
+            self.path.write_bytes(whole[: self.cut])
+            raise Dies
+
+    for at in range(len(data)):
+        with monkeypatch.context() as patch, pytest.raises(Dies):
+            patch.setattr(Path, "open", lambda path, mode, at=at: Half(path, at) if mode == "wb" else None)
+            patch.setattr(Path, "write_bytes", lambda path, some: os.close(_written(path, some)))
+            box.put(1, data)
+        assert not list(out.glob("*-*.wh"))
+    box.put(1, data)
+    assert [path.read_bytes() for path in out.glob("*-*.wh")] == [data] and len(list(out.iterdir())) == 1
+    sender = Sender(KEY, 3, Sent(1), {1: data})
+    for cut in range(len(receipt)):
+        (tmp_path / "back" / "3-1.wr").write_bytes(receipt[:cut])
+        [found] = box.receipts()
+        assert sender.heard(found) is None and sender.given_back(found) is None and box.receipts() == []
+    (tmp_path / "back" / "3-1.wr").write_bytes(receipt)
+    assert [sender.heard(found) for found in box.receipts()] == [1] and not sender.files
+
+
+def _written(path: Path, some: bytes) -> int:
+    made = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+    os.write(made, some)
+    return made
