--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -256,3 +256,16 @@
     assert not door.faults, door.faults[0][:600]
     assert not door.daemon.switch.counts["decision_faults"] and not door.daemon.switch.counts["ledger_faults"]
     assert b'"number": 0' in door.ask(b"status\n") and b"wellhitch_held" in door.ask(b"metrics\n")
+
+
+@pytest.mark.xfail(
+    strict=True,
+    reason="roles are believed: nothing but loopback tells a peer from another process. Its words steer tandems at "
+    "most, and the ledger listens to its roster; keys for links are a feature, not a mend.",
+)
+def test_a_stranger_who_says_he_is_a_call_server_is_let_go() -> None:
+    door, stranger = Door(limits={"may_tell_peers": True}), Hand()
+    hello = frames.Hello("call_server", 9, 1)
+    door.net.at("x").connect("s:2", lambda: Port(door.loop, stranger, hello, ("call_server",)), print)
+    door.loop.advance(1.0)
+    assert stranger.down
