What runs the decisions is a package of its own, for both servers

The platform's call server needs the event queue, the rescue after a raise and the timers that lay in server/switch.py. They are deciding/runner.py now; Switch holds a Runner.

--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -300,9 +300,9 @@
 
 
 def test_a_decision_that_raises_now_and_then_breaks_no_rule(monkeypatch: pytest.MonkeyPatch) -> None:
-    from wellhitch.server import switch as switch_module
+    from wellhitch.deciding import runner as runner_module
 
-    real, seen = switch_module.decide, [0]
+    real, seen = runner_module.decide, [0]
 
     def faulty(x: Any, event: Any, now: int) -> Any:
         seen[0] += 1
@@ -310,7 +310,7 @@
             raise KeyError("broken on purpose")
         return real(x, event, now)
 
-    monkeypatch.setattr(switch_module, "decide", faulty)
+    monkeypatch.setattr(runner_module, "decide", faulty)
     done = played(day(rate=12))
     assert rules(done) == [] and tell("decision_faults")(done) > 20 and not done.left_open
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -9,11 +9,11 @@
 from test_judge import AnswersTwice, DialsTwoAtOnce, FloodsTheCold, HearsNoDrains, ResendsAtOnce
 from world import day, played, rules, trouble
 
+from wellhitch.deciding import runner as runner_module
 from wellhitch.emulator.network import EmulatedNetwork
 from wellhitch.interface import events as ev
 from wellhitch.lab.fleet import InProcess
 from wellhitch.lab.play import Played
-from wellhitch.server import switch as switch_module
 from wellhitch.server.dials import DialOut, Step
 from wellhitch.server.switch import Switch
 from wellhitch.settings.day import Day, TroubleLine
@@ -75,8 +75,8 @@
                 struck.reached(self, "arrival")
                 super().call(*args)
 
-            def _feed(self, event: ev.Event, now: int) -> None:
-                super()._feed(event, now)
+            def feed(self, event: ev.Event, now: int) -> None:
+                super().feed(event, now)
                 if isinstance(event, ev.Arrived):
                     struck.reached(self, "decision")
 
@@ -197,7 +197,7 @@
                     yield name
 
     def play(self) -> Played:
-        real = switch_module.decide
+        real = runner_module.decide
 
         def decide(x: Any, event: Any, now: int) -> Any:
             if self.raises and x is self.switch.exchange:
@@ -205,7 +205,7 @@
                 raise KeyError("broken on purpose")
             return real(x, event, now)
 
-        with patched(switch_module, "decide", decide):
+        with patched(runner_module, "decide", decide):
             return played(self.made, self.make_switch, meddle=self.meddle)
 
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -9,9 +9,9 @@
 import pytest
 from conftest import CHEAP, DEAR, SECOND
 
+from wellhitch.deciding import runner as runner_module
 from wellhitch.interface import events as ev
 from wellhitch.interface.facts import ColdRule, Permissions, Place, ReleaseRule
-from wellhitch.server import switch as switch_module
 from wellhitch.server.dials import LEGAL, MOST_RECENT, DialOut, Recent, Step, Taken
 from wellhitch.server.switch import ANSWER_MARGIN, Switch
 from wellhitch.trunk import frames
@@ -334,7 +334,7 @@
 def test_a_decision_that_raises_costs_one_dialogue_its_chance_and_nobody_an_answer(
     bench: Bench, kind: type, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    real = switch_module.decide
+    real = runner_module.decide
     armed = [True]
 
     def faulty(x: Any, event: Any, now: int) -> Any:
@@ -343,7 +343,7 @@
             raise ZeroDivisionError("broken on purpose")
         return real(x, event, now)
 
-    monkeypatch.setattr(switch_module, "decide", faulty)
+    monkeypatch.setattr(runner_module, "decide", faulty)
     setup = bench.dial() if kind is not ev.Arrived else None
     if kind is ev.Arrived:
         bench.call()
--- a/wellhitch/lab/measure.py
+++ b/wellhitch/lab/measure.py
@@ -51,7 +51,7 @@
 class Relay(Switch):
     """The same frames with no decision: each dialogue goes direct."""
 
-    def _feed(self, event: ev.Event, now: int) -> None:
+    def feed(self, event: ev.Event, now: int) -> None:
         if isinstance(event, ev.Arrived):
             for end in self.offices.values():
                 if end.number == event.destination:
--- a/wellhitch/server/switch.py
+++ b/wellhitch/server/switch.py
@@ -6,18 +6,17 @@
 decisions costs the one dialogue its chance, not its answer.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Hashable
 from typing import Any, Protocol
 
 import msgspec
 
+from wellhitch.deciding.runner import Runner
 from wellhitch.hooks.points import Said
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
-from wellhitch.interface.state import Dialogue, Exchange
 from wellhitch.ledger.book import Seen
-from wellhitch.rules import decide
 from wellhitch.server.dials import (
     ENDINGS,
     STANDINGS,
@@ -100,8 +99,9 @@
     def __init__(self, opened: ev.Opened, max_open: int, outlet: Outlet) -> None:
         self.opened, self.max_open, self.outlet = opened, max_open, outlet
         self.number = opened.place.number if opened.place.number is not None else -1
-        self.exchange = Exchange()
         self.counts: Counter[str] = Counter()
+        self.runner = Runner(self, outlet.timer, outlet.log, self.counts)
+        self.exchange = self.runner.exchange
         self.taken: dict[int, Taken] = {}
         self.by_caller: dict[tuple[Hashable, int], Taken] = {}
         self.heard: dict[Hashable, Recent] = {}
@@ -116,8 +116,6 @@
             0  # set at each start: what an earlier process called its dialogues must not be called so again
         )
         self._next_id = 0
-        self._events: deque[ev.Event] = deque()
-        self._feeding = False
         self._untold: set[int] = set()
         self._tell_timer: Timer | None = None
         self._outer_limits = {use.name: use.outer_limit for use in opened.use_cases}
@@ -126,7 +124,7 @@
 
     def start(self, now: int) -> None:
         """Begin: nothing is known but the facts of the place."""
-        self._feed(self.opened, now)
+        self.feed(self.opened, now)
         if self.hooked:
             self.hooked.began = now
             self.outlet.timer(TICK, self._tick)
@@ -136,54 +134,19 @@
             self.hooked.tick(len(self.taken), now)
             self.outlet.timer(TICK, self._tick)
 
-    def _feed(self, event: ev.Event, now: int) -> None:
-        """Tell the decisions one event, carry their actions out in order, then the events that came of them."""
-        self._events.append(event)
-        if self._feeding:
-            return
-        self._feeding = True
-        try:
-            while self._events:
-                event = self._events.popleft()
-                self.counts[f"event.{type(event).__name__}"] += 1
-                try:
-                    wanted = decide(self.exchange, event, now)
-                except Exception as fault:  # the call server outlives a fault in one decision
-                    self._rescue(event, fault, now)
-                    continue
-                for action in wanted:
-                    self._carry_out(action, now)
-        finally:
-            self._feeding = False
-
-    def _rescue(self, event: ev.Event, fault: Exception, now: int) -> None:
-        """Guards against a decision that raises: the dialogue concerned gets its one final answer, its dial is
-        called off, and all others go on."""
-        self.counts["decision_faults"] += 1
-        where = fault.__traceback__
-        while where and where.tb_next:
-            where = where.tb_next
-        line = where.tb_lineno if where else 0
-        about = getattr(event, "dialogue", event.token - 1 if isinstance(event, ev.Rang) else -1)
-        known = self.exchange.dialogues.get(about)
-        self.outlet.log(
-            "decision_fault",
-            fault=f"{type(fault).__name__}: {fault}",
-            line=line,
-            told=repr(event),
-            own_price=self.exchange.own_price,
-            held=len(self.exchange.dialogues),
-            dialogue=known and _shown(known),
-        )
-        if isinstance(event, ev.Rang) and event.token == 0:
-            # The interval's timer is armed by the decision that raised; without it no price would step again.
-            self.outlet.timer(TELL_EVERY * 5, lambda at: self._feed(ev.Rang(0), at))
-        self.exchange.dialogues.pop(about, None)
-        taken = self.taken.get(about)
+    def feed(self, event: ev.Event, now: int) -> None:
+        """Tell the decisions one event; what they ask for is carried out before this returns, but for events that
+        come up meanwhile, which wait their turn."""
+        self.runner.feed(event, now)
+
+    def rescued(self, dialogue: int, now: int) -> None:
+        """The decisions raised on this dialogue: it gets its one final answer."""
+        taken = self.taken.get(dialogue)
         if taken and not taken.stands:
             self._answer(taken, "forfeited", 0, now)
 
-    def _carry_out(self, action: act.Action, now: int) -> None:
+    def carry_out(self, action: act.Action, now: int) -> None:
+        """Do one thing that the decisions ask for."""
         match action:
             case act.Send(dialogue, office, within):
                 self._send(dialogue, office, within, now)
@@ -198,8 +161,6 @@
             case act.Forfeit(dialogue):
                 if dialogue in self.taken:
                     self._answer(self.taken[dialogue], "forfeited", 0, now)
-            case act.Wake(after, token):
-                self.outlet.timer(after, lambda at: self._feed(ev.Rang(token), at))
             case act.TellPeers(text):
                 self.outlet.tell_peers(text)
             case act.Follow():
@@ -277,7 +238,7 @@
         # outer limit it is worth nothing to anybody.
         left = min(left, self._outer_limits[taken.use_case])
         taken.came, taken.until = now, now + left
-        self._feed(
+        self.feed(
             ev.Arrived(
                 dialogue=taken.id,
                 use_case=taken.use_case,
@@ -319,7 +280,7 @@
             return
         self._told_answer(taken, "gone")
         self._forget(taken)
-        self._feed(ev.WentAway(taken.id), now)
+        self.feed(ev.WentAway(taken.id), now)
         if dial:
             self._end_dial(dial, frames.Cancel(dial.ref), now)
 
@@ -471,9 +432,7 @@
         self.counts[f"ending.{ending.name.lower()}"] += 1
         self.counts[f"blame.{blame.name.lower()}"] += 1
         report = self._report(dial.office.number, load)
-        self._feed(
-            ev.DialEnded(taken.id, dial.number, dial.office.id, ending, blame, wait, over, report), now
-        )
+        self.feed(ev.DialEnded(taken.id, dial.number, dial.office.id, ending, blame, wait, over, report), now)
 
     def passed(self, office: str, frame: frames.Passed, now: int) -> None:
         """The own processor is done with a step of a dial."""
@@ -526,7 +485,7 @@
         dial.move(Step.STANDS)
         self._stop_timer(dial)
         self._answer(dial.taken, "stands", 0, now)
-        self._feed(ev.Stood(dial.taken.id, dial.number, now - dial.sent), now)
+        self.feed(ev.Stood(dial.taken.id, dial.number, now - dial.sent), now)
 
     def _overdue(self, dial: DialOut, now: int) -> None:
         if dial.step in (Step.PASSING, Step.OUT, Step.ANSWERING):
@@ -684,12 +643,12 @@
     def load_told(self, office: str, frame: frames.LoadReport, now: int) -> None:
         """A processor told its figures."""
         end = self.offices[office]
-        self._feed(ev.Reported(office, frame.asked, True, self._report(end.number, frame.load)), now)
+        self.feed(ev.Reported(office, frame.asked, True, self._report(end.number, frame.load)), now)
 
     def _heard_load(self, office: str, load: frames.Load | None, now: int) -> None:
         if load is not None:
             report = self._report(self.offices[office].number, load)
-            self._feed(ev.Reported(office, False, True, report), now)
+            self.feed(ev.Reported(office, False, True, report), now)
 
     # ---- groups ----
 
@@ -730,7 +689,7 @@
                 self.outlet.to_office(home.id, frames.GroupState(number, group.ours_count))
             for end in self.offices.values():
                 if end.number == number and end.standing is not ev.Standing.GONE:
-                    self._feed(ev.Reported(end.id, False, True, self._report(number, None)), now)
+                    self.feed(ev.Reported(end.id, False, True, self._report(number, None)), now)
 
     def _report(self, number: int, load: frames.Load | None) -> ev.Report:
         group = self.groups.get(number)
@@ -840,7 +799,7 @@
         heard = {"changes": ev.Heard.CHANGES, "whole": ev.Heard.WHOLE, "remembered": ev.Heard.REMEMBERED}
         entries = [self.offices[line.office] for line in frame.lines]
         lines = tuple(ev.Entry(end.id, end.number, end.standing, end.started) for end in entries)
-        self._feed(ev.Listed(heard[frame.kind], lines), now)
+        self.feed(ev.Listed(heard[frame.kind], lines), now)
         for end in list(self.offices.values()):
             self._follow_standing(end, now)
             if self.hooked and before.get(end.id) is not end.standing:
@@ -914,7 +873,7 @@
         home = self._home()
         if home:
             self.outlet.to_office(home.id, frames.Pass(0, "word"))
-        self._feed(ev.PeerSaid(peer, text), now)
+        self.feed(ev.PeerSaid(peer, text), now)
 
     def stop(self, now: int) -> int:
         """Take nothing more; returns how many answers are still owed."""
@@ -942,20 +901,6 @@
     return text is None or len(text) <= MAX_TEXT
 
 
-def _shown(dialogue: Dialogue) -> dict[str, Any]:
-    """A dialogue's record for the log, without the records that it points to."""
-    return {
-        "use_case": dialogue.use_case.name,
-        "destination": dialogue.destination,
-        "transit": dialogue.transit,
-        "give_up": dialogue.give_up,
-        "not_before": dialogue.not_before,
-        "stands": dialogue.stands,
-        "dials": [(dial.office.id, dial.sent, dial.took) for dial in dialogue.dials],
-        "out": dialogue.out is not None,
-    }
-
-
 def _side(taken: Taken) -> str:
     """Where this call server stands in a dialogue."""
     return "tandem" if taken.home is not None else "origin"
