--- /dev/null
+++ b/wellhitch/board/codec.py
@@ -0,0 +1,157 @@
+"""Bytes <-> frames, and the same events as JSON. Any bytes, however cut, give frames or one `BadFrame`."""
+
+import struct
+from typing import Any
+
+import msgspec
+
+from wellhitch.settings.checked import read_open
+
+RECORD = struct.Struct(">IIHBBBHIQ")  # id address port state zone kind cell weight started
+HEAD = struct.Struct(">IQB")  # length number kind
+MAX_RECORDS = 4096  # offices in one frame: hundreds of times any list of the platform
+MAX_LENGTH = 9 + RECORD.size * MAX_RECORDS
+READY, DRAINING, GONE = 0, 1, 2
+STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One office: its id in text, host:port, state, exchange number, and Unix ms of a late start or 0."""
+
+    id: str
+    address: str
+    state: int
+    cell: int
+    started_ms: int
+
+
+class Notice(msgspec.Struct, frozen=True):
+    """One event: its number, whether it is the whole list, its rows. `empty`: it only says that the board lives."""
+
+    number: int
+    whole: bool
+    rows: tuple[Row, ...]
+    empty: bool = False
+
+
+class BadFrame(Exception):
+    """Bytes that are no frame. `before` holds the notices that were good."""
+
+    def __init__(self, limit: str, before: list[Notice]) -> None:
+        super().__init__(limit)
+        self.limit, self.before = limit, before
+
+
+class Decoder:
+    """One connection to the board."""
+
+    def __init__(self) -> None:
+        self._held = b""
+
+    def feed(self, data: bytes | memoryview) -> list[Notice]:
+        """Whole notices. Raises BadFrame."""
+        buffer, out, at = self._held + data, list[Notice](), 0
+        while len(buffer) - at >= HEAD.size:
+            length, number, kind = HEAD.unpack_from(buffer, at)
+            size = length - 9
+            if not 9 <= length <= MAX_LENGTH:
+                raise BadFrame("frame_length", out)
+            if kind > 2 or size % RECORD.size or (kind == 0 and size):
+                raise BadFrame("frame_form", out)
+            if len(buffer) - at < 4 + length:
+                break
+            payload = buffer[at + HEAD.size : at + 4 + length]
+            at += 4 + length
+            rows = tuple(_row(one, out) for one in RECORD.iter_unpack(payload))
+            out.append(Notice(number, kind == 1, rows, kind == 0))
+        self._held = buffer[at:]
+        return out
+
+
+def _row(record: tuple[int, ...], before: list[Notice]) -> Row:
+    office, address, port, state, _zone, _kind, cell, _weight, started = record
+    if state > GONE or port == 0:
+        raise BadFrame("record", before)
+    host = ".".join(str(address >> shift & 255) for shift in (24, 16, 8, 0))
+    return Row(f"s-{office:08x}", f"{host}:{port}", state, cell, started)
+
+
+def ask(number: int) -> bytes:
+    """What is written first: the number of the last event held."""
+    return struct.pack(">Q", number)
+
+
+def frame(notice: Notice) -> bytes:
+    """A notice as the board writes it; for stand-ins."""
+    payload = b"".join(
+        RECORD.pack(
+            int(row.id[2:], 16),
+            _packed(row.address),
+            _port(row.address),
+            row.state,
+            0,
+            0,
+            row.cell,
+            1000,
+            row.started_ms,
+        )
+        for row in notice.rows
+    )
+    kind = 0 if notice.empty else 1 if notice.whole else 2
+    return HEAD.pack(9 + len(payload), notice.number, kind) + payload
+
+
+def _packed(address: str) -> int:
+    packed = 0
+    for part in address.rpartition(":")[0].split("."):
+        packed = packed << 8 | int(part)
+    return packed
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
+# ---- the same events as JSON ----
+
+
+class _Server(msgspec.Struct):
+    id: str
+    addr: str
+    state: str
+    cell: int
+    started_ms: int = 0
+    zone: Any = None
+    kind: Any = None
+    weight: Any = None
+
+
+class _Pool(msgspec.Struct):
+    servers: list[_Server]
+    version: Any = None
+    full: bool = False
+
+
+class _Notice(msgspec.Struct):
+    rev: int
+    pool: _Pool
+
+
+class Known(msgspec.Struct):
+    """The events up to the start."""
+
+    rev: int
+    notices: list[_Notice]
+
+
+def read_known(value: Any, where: str) -> tuple[int, list[Notice]]:
+    """Last number and the events. Raises Faults naming field and value."""
+    known = read_open(value, Known, where)
+    out = []
+    for notice in known.notices:
+        rows = []
+        for server in notice.pool.servers:
+            state = STATES.get(server.state, GONE)  # an unknown word is no leave to send there
+            rows.append(Row(server.id, server.addr, state, server.cell, server.started_ms))
+        out.append(Notice(notice.rev, notice.pool.full, tuple(rows)))
+    return known.rev, out
--- /dev/null
+++ b/wellhitch/cli/platform.py
@@ -0,0 +1,69 @@
+"""`wellhitch platform`: the call server on the operators' platform."""
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from typing import Any
+
+import click
+import msgspec
+
+from wellhitch.net.seam import LoopNetwork, only_numeric
+from wellhitch.platform.configuration import read_configuration
+from wellhitch.platform.service import Service, shares
+from wellhitch.settings.checked import Faults
+
+
+def write_line(event: str, **facts: Any) -> None:
+    """One event of the log on standard error: JSON by msgspec, since structlog's processors cost a small process too
+    much memory and start-up."""
+    line = {"at": round(time.time(), 3), "event": event, **facts}
+    os.write(2, msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+
+@click.command()
+def platform() -> None:
+    """Serve on the operators' platform, as LB_CONFIG says.
+
+    \b
+    LB_CONFIG=/run/balancer/config.json wellhitch platform
+
+    SIGHUP reads the file again and follows the notice board's new address; SIGTERM answers what is owed and ends.
+    """
+    path = os.environ.get("LB_CONFIG", "")
+    if not path:
+        click.echo("LB_CONFIG = '': no file is named", err=True)
+        sys.exit(2)
+    try:
+        told = read_configuration(path)
+    except Faults as faults:
+        click.echo(str(faults), err=True)
+        sys.exit(2)
+    loop = asyncio.new_event_loop()
+    _, _, waiting = shares(told.sockets)
+    network = LoopNetwork(loop, only_numeric, told.connect_within / 1e6, waiting)
+    status = [0]
+
+    def fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        raised = context.get("exception")
+        write_line("loop_fault", message=context.get("message"), fault=repr(raised))
+        if "address" in context:  # it cannot listen: nothing can be served
+            status[0] = 1
+            loop.stop()
+
+    loop.set_exception_handler(fault)
+    service = Service(loop, network, told, lambda: time.time_ns() // 1000, write_line, loop.stop)
+
+    def hangup() -> None:
+        try:
+            service.reconfigured(read_configuration(path))
+        except Faults as faults:  # the one in force stays
+            write_line("configuration_refused", why=str(faults))
+
+    loop.add_signal_handler(signal.SIGTERM, service.stop)
+    loop.add_signal_handler(signal.SIGHUP, hangup)
+    service.start()
+    loop.run_forever()
+    sys.exit(status[0])
--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from wellhitch.emulator.party import PartyLoop
-from wellhitch.net.seam import Factory, Listener
+from wellhitch.net.seam import Factory, Listener, Sender, Taken
 
 Delay = Callable[[str, str], int]
 """One-way time in us between two hosts."""
@@ -166,6 +166,19 @@
         self.net.listeners.pop(self.address, None)
 
 
+@dataclass(eq=False)
+class _Sending:
+    net: "EmulatedNetwork"
+    address: str
+    taken: Taken
+
+    def send(self, data: bytes, address: str) -> None:
+        self.net.datagram(self.address, address, bytes(data))
+
+    def close(self) -> None:
+        self.net.senders.pop(self.address, None)
+
+
 @dataclass(eq=False)
 class EmulatedNetwork:
     """All hosts of a day. Give each party `at(host)`, its own view; `delay` is one way, `jitter` a share of it."""
@@ -178,6 +191,8 @@
     pipes: dict[Pipe, None] = field(default_factory=dict)
     bad: dict[tuple[str, str], Weather] = field(default_factory=dict)
     gates: dict[str, PartyLoop] = field(default_factory=dict)
+    senders: dict[str, "_Sending"] = field(default_factory=dict)
+    lost: float = 0.0  # share of datagrams that never arrive
 
     TRICKLE_S = 0.0005
     _FINE = Weather()
@@ -217,6 +232,21 @@
         pipe.last_due = max(self.loop.time() + delay, pipe.last_due + 1e-8)
         return pipe.last_due
 
+    def datagram(self, here: str, there: str, data: bytes) -> None:
+        """Carry a datagram: late, out of order or not at all, as UDP may."""
+        weather = self.weather(here.rpartition(":")[0], there.rpartition(":")[0])
+        if weather.silent or weather.broken or self._chance.random() < self.lost:
+            return
+        delay = self.delay(here.rpartition(":")[0], there.rpartition(":")[0]) + weather.late
+        late = delay / 1e6 * (1 + self.jitter * self._chance.random())
+        self.loop.call_later(late, self._datagram_there, here, there, data)
+
+    def _datagram_there(self, here: str, there: str, data: bytes) -> None:
+        sending = self.senders.get(there)
+        host = there.rpartition(":")[0]
+        if sending is not None and not self.held_up(host, self._datagram_there, here, there, data):
+            sending.taken(data, here)
+
     def links(self, here: str, there: str) -> list[Pipe]:
         """The open ends at `here` of links with `there`."""
         return [pipe for pipe in self.pipes if pipe.here == here and pipe.there == there]
@@ -274,6 +304,13 @@
         listening = self.net.listeners[full] = _Listening(self.net, full, factory)
         self.net.loop.call_soon(ready, listening)
 
+    def datagrams(self, address: str, taken: Taken, ready: Callable[[Sender], None]) -> None:
+        """As `Network.datagrams`."""
+        if address in self.net.senders:
+            raise OSError(f"{address} in use")
+        sending = self.net.senders[address] = _Sending(self.net, address, taken)
+        self.net.loop.call_soon(ready, sending)
+
     def connect(self, address: str, factory: Factory, failed: Callable[[str], None]) -> None:
         """As `Network.connect`."""
         there = address.rpartition(":")[0]
--- a/wellhitch/net/seam.py
+++ b/wellhitch/net/seam.py
@@ -3,9 +3,11 @@
 import asyncio
 import ipaddress
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, cast
 
 Factory = Callable[[], asyncio.BufferedProtocol]
+Taken = Callable[[bytes, str], None]
+"""Takes a datagram and the address it came from."""
 
 
 def now_us(loop: asyncio.AbstractEventLoop) -> int:
@@ -22,12 +24,25 @@
         """Take no more links."""
 
 
+class Sender(Protocol):
+    """Somewhere to send datagrams from."""
+
+    def send(self, data: bytes, address: str) -> None:
+        """Send one; it comes late or not at all."""
+
+    def close(self) -> None:
+        """Send and take no more."""
+
+
 class Network(Protocol):
-    """Opens stream transports. Addresses are host:port."""
+    """Opens transports. Addresses are host:port."""
 
     def listen(self, address: str, factory: Factory, ready: Callable[[Listener], None]) -> None:
         """Take links at `address` (port 0: any free one), a protocol of `factory` for each."""
 
+    def datagrams(self, address: str, taken: Taken, ready: Callable[[Sender], None]) -> None:
+        """Send and take datagrams at `address`."""
+
     def connect(self, address: str, factory: Factory, failed: Callable[[str], None]) -> None:
         """Open a link; `factory`'s protocol hears connection_made, or `failed` is called with why."""
 
@@ -60,13 +75,43 @@
         self._server.close()
 
 
-class LoopbackNetwork:
-    """The real thing, on the running asyncio loop. Refuses any address that is not loopback."""
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, taken: Taken) -> None:
+        self._taken = taken
+        self._transport: asyncio.DatagramTransport | None = None
 
-    CONNECT_TIMEOUT_S = 3.0  # loopback answers at once; a full backlog is the only wait
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not asserted: asyncio's own class for it is no asyncio.DatagramTransport in Python 3.11.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._taken(data, f"{addr[0]}:{addr[1]}")
+
+    def error_received(self, exc: Exception) -> None:
+        """A datagram may be lost: nobody waits for it."""
+
+    def send(self, data: bytes, address: str) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, split(address))
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+class LoopNetwork:
+    """The real thing, on the running asyncio loop. `allowed` raises ValueError for a host that is none of its own;
+    `connect_within` is in seconds, `waiting` how many new links may wait to be taken."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        allowed: Callable[[str], None],
+        connect_within: float,
+        waiting: int = 100,  # asyncio's own default
+    ) -> None:
+        self._loop, self._allowed = loop, allowed
+        self._connect_within, self._waiting = connect_within, waiting
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _spawn(self, work: "asyncio._CoroutineLike[None]") -> None:
@@ -74,33 +119,57 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _split(self, address: str) -> tuple[str, int]:
+        host, port = split(address)
+        self._allowed(host)
+        return host, port
+
+    def _unable(self, address: str, fault: OSError) -> None:
+        self._loop.call_exception_handler(
+            {"message": f"cannot listen at {address}", "exception": fault, "address": address}
+        )
+
     def listen(self, address: str, factory: Factory, ready: Callable[[Listener], None]) -> None:
         """As `Network.listen`; where it cannot listen the loop's exception handler is told, with the `address`."""
-        host, port = _loopback(address)
+        host, port = self._split(address)
 
         async def work() -> None:
             try:
-                server = await self._loop.create_server(factory, host, port)
+                server = await self._loop.create_server(factory, host, port, backlog=self._waiting)
             except OSError as fault:
-                self._loop.call_exception_handler(
-                    {"message": f"cannot listen at {address}", "exception": fault, "address": address}
-                )
+                self._unable(address, fault)
                 return
             ready(_Listening(server, host))
 
         self._spawn(work())
 
+    def datagrams(self, address: str, taken: Taken, ready: Callable[[Sender], None]) -> None:
+        """As `Network.datagrams`; where it cannot, as `listen`."""
+        local = self._split(address)
+
+        async def work() -> None:
+            try:
+                _, made = await self._loop.create_datagram_endpoint(
+                    lambda: _Datagrams(taken), local_addr=local
+                )
+            except OSError as fault:
+                self._unable(address, fault)
+                return
+            ready(made)
+
+        self._spawn(work())
+
     def connect(self, address: str, factory: Factory, failed: Callable[[str], None]) -> None:
         """As `Network.connect`."""
         try:
-            host, port = _loopback(address)
+            host, port = self._split(address)
         except ValueError as fault:
             self._loop.call_soon(failed, str(fault))
             return
 
         async def work() -> None:
             try:
-                async with asyncio.timeout(self.CONNECT_TIMEOUT_S):
+                async with asyncio.timeout(self._connect_within):
                     await self._loop.create_connection(factory, host, port)
             except (OSError, TimeoutError, ValueError) as fault:
                 # ValueError: a name that cannot be looked up at all; without a word nobody would try again.
@@ -109,8 +178,23 @@
         self._spawn(work())
 
 
-def _loopback(address: str) -> tuple[str, int]:
-    host, port = split(address)
+class LoopbackNetwork(LoopNetwork):
+    """On the running loop; refuses any address that is not loopback."""
+
+    CONNECT_TIMEOUT_S = 3.0  # loopback answers at once; a full backlog is the only wait
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop, _loopback, self.CONNECT_TIMEOUT_S)
+
+
+def _loopback(host: str) -> None:
     if not is_loopback(host):
-        raise ValueError(f"address {address[:80]!r} is not loopback")
-    return host, port
+        raise ValueError(f"address {host[:80]!r} is not loopback")
+
+
+def only_numeric(host: str) -> None:
+    """Raises ValueError for a host that is a name: the platform has no DNS, and nothing is to be looked up."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"address {host[:80]!r} is not an IP address") from None
--- /dev/null
+++ b/wellhitch/office_lines/__init__.py
@@ -0,0 +1,1 @@
+"""The JSON lines that offices on the operators' platform speak: bytes to messages and back, sans-I/O."""
--- /dev/null
+++ b/wellhitch/platform/callers.py
@@ -0,0 +1,204 @@
+"""Callers' connections: the only file of the platform that touches them. Decides nothing; the core is told what came.
+
+The door's limits are here, each with a name under which it is counted: `silent`, `half`, `unread`, `full`,
+`open_on_link` and those of the codec.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, Protocol, cast
+
+from wellhitch.net.seam import Listener, Network
+from wellhitch.sip import codec as sip
+
+SWEEP_S = 0.25  # between looks at connections that are overdue: an eighth of the shortest limit
+SILENT_S = 2.0  # that a connection may stay without a whole message: a refusal or a close is due within three
+HALF_S = 2.0  # that a message may take from its first byte to its last, for the same reason
+MOST_UNREAD = 64 * 1024  # bytes that wait for a caller to read; some two hundred answers
+MOST_OPEN = 400  # set-ups open on one connection; usual callers have tens
+READ_BYTES = 64 * 1024  # of the one buffer that all connections share
+
+
+class Hears(Protocol):
+    """Who is told what callers say."""
+
+    def caller_said(self, link: "CallerLink", message: sip.Message) -> None:
+        """A whole message came."""
+
+    def caller_closed(self, link: "CallerLink") -> None:
+        """A connection is gone."""
+
+    def open_on(self, link: "CallerLink") -> int:
+        """How many set-ups are open on it."""
+
+
+class CallerLink(asyncio.BufferedProtocol):
+    """One connection from a caller."""
+
+    __slots__ = (
+        "door",
+        "transport",
+        "decoder",
+        "since",
+        "half_since",
+        "spoke",
+        "closing_since",
+        "__weakref__",
+    )
+
+    def __init__(self, door: "Door") -> None:
+        self.door = door
+        self.transport: asyncio.Transport | None = None
+        self.decoder = sip.Decoder()
+        self.since = 0.0
+        self.half_since: float | None = None
+        self.spoke = False
+        self.closing_since: float | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.since = self.door.loop.time()
+        self.door.opened(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.door.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.closing_since is not None:
+            return
+        try:
+            messages = self.decoder.feed(self.door.buffer[:nbytes])
+        except sip.BadSip as bad:
+            self._take(bad.before)
+            self.door.counts[f"door.{bad.limit}"] += 1
+            self._refuse_and_close(bad)
+            return
+        self._take(messages)
+        if not self.decoder.pending:
+            self.half_since = None
+        elif self.half_since is None or messages:
+            self.half_since = self.door.loop.time()
+
+    def _take(self, messages: list[sip.Message]) -> None:
+        for message in messages:
+            if self.closing_since is not None:
+                return
+            self.spoke = True
+            if (
+                isinstance(message, sip.Request)
+                and message.method == "INVITE"
+                and self.door.hears.open_on(self) >= MOST_OPEN
+            ):
+                self.door.counts["door.open_on_link"] += 1
+                self.write(sip.response(503, sip.echo(message)))
+                continue
+            self.door.hears.caller_said(self, message)
+
+    def _refuse_and_close(self, bad: sip.BadSip) -> None:
+        request = bad.request
+        if request is None or request.method != "ACK":  # an ACK is never answered
+            status = 413 if bad.limit in ("too_large", "head_too_long", "too_many_headers") else 400
+            self.write(sip.response(status, sip.echo(request) if request else ""))
+        self.close()
+
+    def write(self, data: bytes) -> bool:
+        """Write; False where the connection is closed or closing."""
+        transport = self.transport
+        if transport is None or self.closing_since is not None or transport.is_closing():
+            return False
+        transport.write(data)
+        if transport.get_write_buffer_size() > MOST_UNREAD:
+            self.door.counts["door.unread"] += 1
+            self.closing_since = self.door.loop.time()
+            transport.abort()
+        return True
+
+    def close(self) -> None:
+        """Close once what was written is out."""
+        if self.closing_since is None:
+            self.closing_since = self.door.loop.time()
+            if self.transport is not None:
+                self.transport.close()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.closing_since is None:
+            self.closing_since = self.door.loop.time()
+        self.door.lost(self)
+
+
+class Door:
+    """All connections from callers, at most `most`."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, network: Network, hears: Hears, most: int, counts: Counter[str]
+    ) -> None:
+        self.loop, self.network, self.hears, self.most, self.counts = loop, network, hears, most, counts
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.links: dict[CallerLink, None] = {}  # the longest open first
+        self.listener: Listener | None = None
+        self._sweeping: Any = None
+
+    def listen(self, address: str, ready: Callable[[], None]) -> None:
+        """Take connections at this address alone."""
+
+        def listening(listener: Listener) -> None:
+            self.listener = listener
+            ready()
+
+        self.network.listen(address, lambda: CallerLink(self), listening)
+        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def opened(self, link: CallerLink) -> None:
+        """A connection is there. Guards the descriptors: where there are too many, one that has said nothing yet goes,
+        else one on which nothing is open, else the new one."""
+        self.links[link] = None
+        if len(self.links) <= self.most:
+            return
+        self.counts["door.full"] += 1
+        gone = next((one for one in self.links if not one.spoke and one is not link), None)
+        if gone is None:
+            gone = next((one for one in self.links if one is not link and not self.hears.open_on(one)), link)
+        self._abort(gone)
+
+    def _abort(self, link: CallerLink) -> None:
+        link.closing_since = link.closing_since or self.loop.time()
+        if link.transport is not None:
+            link.transport.abort()
+
+    def lost(self, link: CallerLink) -> None:
+        """A connection is gone."""
+        self.links.pop(link, None)
+        self.hears.caller_closed(link)
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+        for link in list(self.links):
+            if link.closing_since is not None:
+                if now - link.closing_since > HALF_S:
+                    self._abort(link)
+            elif link.half_since is not None and now - link.half_since > HALF_S:
+                self.counts["door.half"] += 1
+                link.write(sip.response(408, ""))
+                link.close()
+            elif not link.spoke and now - link.since > SILENT_S:
+                self.counts["door.silent"] += 1
+                link.close()
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    def close(self) -> None:
+        """Close all."""
+        self.stop_listening()
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        for link in list(self.links):
+            link.close()
--- /dev/null
+++ b/wellhitch/platform/core.py
@@ -0,0 +1,634 @@
+"""The platform's call server without its sockets: messages and timers in, messages and timers out through `Outlet`.
+
+It turns the platform's messages into the decisions' events and their actions into messages. What it adds are guards
+for what the decisions cannot see, each said where it stands. Circuits are told by the offices, not counted here.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Hashable
+from typing import Any, Protocol
+
+from wellhitch.adapter.codec import read_report
+from wellhitch.board.codec import DRAINING, GONE, Notice, Row
+from wellhitch.deciding.runner import Runner
+from wellhitch.interface import actions as act
+from wellhitch.interface import events as ev
+from wellhitch.office_lines import codec as lines
+from wellhitch.platform.door import SetUp, dialogue_id, read_set_up
+from wellhitch.platform.records import Call, DialOut, OfficeEnd, Step, Taken, Timer
+from wellhitch.platform.releases import Releases
+from wellhitch.sip import codec as sip
+
+ANSWER_MARGIN = (
+    20_000  # us; taken off each dialogue's time so that its answer is there before the time is up: a busy
+)
+# turn of the loop takes less
+CUT_AFTER = (
+    2_000_000  # us that an office refuses every link before its calls count as cut: its process has died, and
+)
+# with it they did. A restart of the link after a reset takes milliseconds
+CUT_GONE_AFTER = (
+    500_000  # us from hearing that an office is gone: releases that it sent at its end come before
+)
+LATE_KEPT = (
+    10_000_000  # us that a given-up dial is remembered at its office: longer than any outer limit here
+)
+MOST_REMEMBERED = 4096  # refs remembered of given-up dials at one office, and of releases of calls not known
+
+CAUSE_OVER, CAUSE_CUT = 16, 41
+ENDINGS = {
+    34: ev.Ending.FULL,
+    17: ev.Ending.FAULT,
+    47: ev.Ending.FAULT,
+    102: ev.Ending.NOT_SENT,
+}
+"""What a release before the answer means; any other cause is a reset."""
+BLAMES = {
+    "no_circuit": ev.Blame.NO_CIRCUIT,
+    "turned_back": ev.Blame.TURNED_BACK,
+    "far_overload": ev.Blame.FAR_PROCESSOR_FULL,
+    "overload": ev.Blame.PROCESSOR_FULL,
+    "lines_busy": ev.Blame.LINES_BUSY,
+}
+STANDINGS = (ev.Standing.READY, ev.Standing.DRAINING, ev.Standing.GONE)  # by the board's states
+
+
+class Outlet(Protocol):
+    """The way out: what the shell does for the core."""
+
+    def to_caller(self, link: Hashable, data: bytes) -> bool:
+        """Write to a caller; False where the connection is closed."""
+
+    def close_caller(self, link: Hashable) -> None:
+        """Close a caller's connection once what was written is out; the core is told it is closed."""
+
+    def dial(self, dial: DialOut, line: bytes) -> None:
+        """Send a set-up on one of the office's links, or when one is up; `dial_lost` follows where none comes up."""
+
+    def undial(self, dial: DialOut) -> bool:
+        """A dial is over here; True where its set-up still waited and was never sent."""
+
+    def to_office(self, end: OfficeEnd, line: bytes, near: object | None) -> None:
+        """Send on the link `near` if it is up, else on any, else on the next."""
+
+    def keep_links(self, end: OfficeEnd) -> None:
+        """Keep links to an office up."""
+
+    def drop_links(self, end: OfficeEnd, now: bool) -> None:
+        """Let an office's links go: at once, or when nothing is out on them."""
+
+    def tell_peers(self, text: bytes) -> None:
+        """Send a word to every other call server."""
+
+    def timer(self, after: int, ring: Callable[[int], None]) -> Timer:
+        """Ring after so many us, with the time then."""
+
+    def log(self, event: str, **facts: Any) -> None:
+        """One line of the log."""
+
+
+class Core:
+    """One exchange's call server on the platform."""
+
+    def __init__(self, opened: ev.Opened, max_open: int, unix_at_zero: int, outlet: Outlet) -> None:
+        """`unix_at_zero`: Unix time in us at nought of the loop's clock, by which the board's starts are read."""
+        self.opened, self.max_open, self.unix_at_zero, self.outlet = opened, max_open, unix_at_zero, outlet
+        self.number = opened.place.number if opened.place.number is not None else -1
+        self.counts: Counter[str] = Counter()
+        self.runner = Runner(self, outlet.timer, outlet.log, self.counts)
+        self.exchange = self.runner.exchange
+        self.taken: dict[int, Taken] = {}
+        self.by_ref: dict[str, Taken] = {}
+        self.by_link: dict[Hashable, dict[str, Taken]] = {}
+        self.calls: dict[str, Call] = {}
+        self.offices: dict[str, OfficeEnd] = {}
+        self.releases = Releases(outlet.to_caller)
+        self.over_unknown: dict[str, tuple[int, int]] = {}  # releases of calls not known yet: cause and when
+        self._next_id = 0
+        self._use_cases = {use.name: use for use in opened.use_cases}
+
+    def start(self, now: int) -> None:
+        """Begin: nothing is known but the facts of the place."""
+        self.feed(self.opened, now)
+
+    # ---- the decisions ----
+
+    def feed(self, event: ev.Event, now: int) -> None:
+        """Tell the decisions one event."""
+        self.runner.feed(event, now)
+
+    def rescued(self, dialogue: int, now: int) -> None:
+        """The decisions raised on this dialogue: it gets its one final answer."""
+        taken = self.taken.get(dialogue)
+        if taken:
+            self._refuse(taken, 500, "forfeited", "", now)
+
+    def carry_out(self, action: act.Action, now: int) -> None:
+        """Do one thing that the decisions ask for."""
+        match action:
+            case act.Send(dialogue, office, within):
+                self._send(dialogue, office, within, now)
+            case act.Cancel(dialogue, number):
+                taken = self.taken.get(dialogue)
+                if taken and taken.out and taken.out.number == number:
+                    self._give_up_dial(taken.out, ev.Ending.CANCELLED, now)
+            case act.PushBack(dialogue, come_back):
+                if dialogue in self.taken:
+                    more = f"X-Cooldown: {-(-come_back // 1000)}\r\n" if come_back else ""
+                    self._refuse(self.taken[dialogue], 503, "pushed_back", more, now)
+            case act.Forfeit(dialogue):
+                if dialogue in self.taken:
+                    self._refuse(self.taken[dialogue], 500, "forfeited", "", now)
+            case act.TellPeers(text):
+                self.outlet.tell_peers(text)
+            case act.Follow():
+                pass  # the board pushes on its own
+
+    # ---- callers ----
+
+    def caller_said(self, link: Hashable, message: sip.Message, now: int) -> None:
+        """A whole message from a caller."""
+        if isinstance(message, sip.Response):
+            ref = message.headers.get("call-id", "")
+            self.releases.heard(ref)
+            return
+        self.counts[f"caller.{message.method if message.method in KNOWN else 'other'}"] += 1
+        match message.method:
+            case "INVITE":
+                self._invited(link, message, now)
+            case "ACK":
+                pass  # nothing waits for it: an answer is never sent twice over a stream
+            case "CANCEL":
+                self._cancelled(link, message, now)
+            case "BYE":
+                self._caller_released(link, message, now)
+            case "OPTIONS":
+                self.outlet.to_caller(link, sip.response(200, sip.echo(message)))
+            case "NOTIFY":
+                self._group_state(message, now)
+            case _:
+                self.counts["door.method"] += 1
+                self.outlet.to_caller(link, sip.response(501, sip.echo(message)))
+
+    def _turned_away(self, link: Hashable, message: sip.Request, limit: str, status: int = 400) -> None:
+        """Refuse at the door what was never taken."""
+        self.counts[f"door.{limit}"] += 1
+        self.outlet.to_caller(link, sip.response(status, sip.echo(message)))
+
+    def _invited(self, link: Hashable, message: sip.Request, now: int) -> None:
+        set_up = read_set_up(message, self._use_cases)
+        if isinstance(set_up, str):
+            self._turned_away(link, message, set_up)
+            return
+        if set_up.at is not None:
+            self.releases.used(link, now)
+            self._stands_already(link, set_up, now)
+            return
+        open_one = self.by_ref.get(set_up.ref)
+        if open_one is not None and open_one.link == link:
+            # Answers are told apart by the id alone: any to the second would be taken for the first one's, which
+            # then had two. Neither is served, and the connection is closed.
+            self.counts["door.id_twice_on_a_link"] += 1
+            self._gone(open_one, now)
+            self.outlet.to_caller(link, sip.response(400, sip.echo(message)))
+            self.outlet.close_caller(link)
+        elif open_one is not None or set_up.ref in self.calls:
+            self._turned_away(link, message, "id_in_use")
+        elif len(self.taken) >= self.max_open:
+            self._turned_away(link, message, "max_open", 503)
+        else:
+            self.releases.used(link, now)
+            self._take(link, message, set_up, now)
+
+    def _take(self, link: Hashable, message: sip.Request, set_up: SetUp, now: int) -> None:
+        self._next_id += 1
+        taken = Taken(
+            self._next_id,
+            set_up.ref,
+            link,
+            sip.echo(message),
+            set_up.use_case,
+            set_up.key,
+            set_up.description,
+            set_up.destination,
+            set_up.transit,
+            now,
+        )
+        self.taken[taken.id] = self.by_ref[taken.ref] = taken
+        self.by_link.setdefault(link, {})[taken.ref] = taken
+        self.counts["taken"] += 1
+        # Guards against a time without end: past the outer limit a dialogue is worth nothing to anybody.
+        left = min(set_up.left, self._use_cases[set_up.use_case].outer_limit or set_up.left)
+        self.feed(
+            ev.Arrived(
+                dialogue=taken.id,
+                use_case=set_up.use_case,
+                destination=set_up.destination,
+                called=set_up.key,
+                left=max(0, left - ANSWER_MARGIN),
+                width=set_up.width,
+                advised=set_up.advised,
+                redialled=set_up.redialled,
+                transit=set_up.transit,
+            ),
+            now,
+        )
+
+    def _stands_already(self, link: Hashable, set_up: SetUp, now: int) -> None:
+        """One that stands at an office from before a restart here; what is held already is left as it is."""
+        ref = set_up.ref
+        if ref in self.calls or ref in self.by_ref or set_up.at is None:
+            self.counts["stands_known"] += 1
+            return
+        self.counts["stands_told"] += 1
+        over = self.over_unknown.pop(ref, None)
+        if over is not None:
+            self.releases.add(ref, _bye(ref, over[0]), link, now)
+            return
+        end = self.offices.get(set_up.at)
+        if end is None:  # gone while this call server was away, and its calls with it
+            self.releases.add(ref, _bye(ref, CAUSE_CUT), link, now)
+            return
+        self.calls[ref] = end.calls[ref] = Call(ref, end, link, None, 0)
+        if end.standing is ev.Standing.GONE:
+            self._cut_later(end, CUT_GONE_AFTER)
+
+    def _cancelled(self, link: Hashable, message: sip.Request, now: int) -> None:
+        """A caller gives up its set-up, on the connection on which it came."""
+        self.outlet.to_caller(link, sip.response(200, sip.echo(message)))
+        ref = dialogue_id(message) or ""
+        taken, call = self.by_ref.get(ref), self.calls.get(ref)
+        if taken is not None and taken.link == link:
+            self.outlet.to_caller(link, sip.response(487, taken.echo))
+            self._gone(taken, now)
+        elif call is not None and call.link == link:
+            # It crossed the answer: its caller has not seen that and waits no more.
+            self.counts["cancel_crossed_answer"] += 1
+            self._released(call, CAUSE_OVER, now)
+            self.releases.add(ref, _bye(ref, CAUSE_OVER), link, now)
+        else:
+            self.counts["strays.cancel"] += 1
+
+    def _caller_released(self, link: Hashable, message: sip.Request, now: int) -> None:
+        """A caller ends a call that stands; that may come on any connection."""
+        self.outlet.to_caller(link, sip.response(200, sip.echo(message)))
+        ref = dialogue_id(message) or ""
+        call, taken = self.calls.get(ref), self.by_ref.get(ref)
+        if call is not None:
+            self.releases.used(link, now)
+            self._released(call, CAUSE_OVER, now)
+        elif taken is not None and taken.link == link:
+            self.outlet.to_caller(link, sip.response(487, taken.echo))
+            self._gone(taken, now)
+        else:
+            self.counts["strays.bye"] += 1
+            self.releases.heard(ref)  # both ends released at the same moment
+
+    def _released(self, call: Call, cause: int, now: int) -> None:
+        """A call is over from the caller's side."""
+        self._forget_call(call)
+        self.outlet.to_office(call.office, lines.down(call.ref, cause), None)
+        self._remember(call.office, call.ref, now)
+        self._call_ended(call, ev.Ending.CANCELLED, ev.Report(), now)
+
+    def caller_closed(self, link: Hashable, now: int) -> None:
+        """A caller's connection is gone: its open set-ups are given up; calls that stand belong to no connection."""
+        for taken in list(self.by_link.get(link, {}).values()):
+            self._gone(taken, now)
+        self.by_link.pop(link, None)
+        self.releases.closed(link, now)
+
+    def open_on(self, link: Hashable) -> int:
+        """How many set-ups are open on a caller's connection."""
+        return len(self.by_link.get(link, ()))
+
+    def _gone(self, taken: Taken, now: int) -> None:
+        """The caller waits no more, and no answer is owed."""
+        self.counts["answer.gone"] += 1
+        self._forget(taken)
+        dial = taken.out
+        self.feed(ev.WentAway(taken.id), now)
+        if dial is not None and dial.step is Step.OUT:
+            self._end_dial(dial, now)
+
+    def _refuse(self, taken: Taken, status: int, answer: str, more: str, now: int) -> None:
+        """The one final answer where it is not that the call stands; the dialogue is forgotten with it."""
+        self.counts[f"answer.{answer}"] += 1
+        self._forget(taken)
+        self.outlet.to_caller(taken.link, sip.response(status, taken.echo, more=more))
+        if taken.out is not None:  # given up while a dial is out: only after a fault in the decisions
+            self._end_dial(taken.out, now)
+
+    def _forget(self, taken: Taken) -> None:
+        self.taken.pop(taken.id, None)
+        self.by_ref.pop(taken.ref, None)
+        held = self.by_link.get(taken.link)
+        if held is not None:
+            held.pop(taken.ref, None)
+            if not held:
+                del self.by_link[taken.link]
+
+    # ---- dials ----
+
+    def _send(self, dialogue: int, office: str, within: int, now: int) -> None:
+        """Carry out a send. What cannot be sent comes back as not sent at once."""
+        taken, end = self.taken.get(dialogue), self.offices.get(office)
+        if taken is None or taken.out is not None:
+            # Guards rule 2: never a second dial out for one dialogue.
+            self.counts["sends_refused"] += 1
+            self.outlet.log("send_refused", dialogue=dialogue, office=office)
+            return
+        number = taken.dials
+        taken.dials += 1
+        self.counts["sends"] += 1
+        if (
+            end is None
+            or end.standing is not ev.Standing.READY
+            or end.number == self.number
+            or (taken.transit and end.number != taken.destination)
+        ):
+            # Guards rule 3, and what the platform calls a fault: the own exchange, or a call in transit to any but its
+            # destination.
+            self.counts["sends_kept_back"] += 1
+            self._ended(taken.id, number, office, ev.Ending.NOT_SENT, ev.Blame.NONE, ev.Report(), now)
+            return
+        dial = taken.out = DialOut(taken, number, end, now)
+        end.dials[taken.ref] = dial
+        dial.timer = self.outlet.timer(max(0, within), lambda at: self._overdue(dial, at))
+        line = lines.new(taken.ref, taken.use_case, taken.key, max(1, within // 1000), taken.description)
+        self.outlet.dial(dial, line)
+
+    def _overdue(self, dial: DialOut, now: int) -> None:
+        if dial.step is Step.OUT:
+            self._give_up_dial(dial, ev.Ending.TIMED_OUT, now)
+
+    def _give_up_dial(self, dial: DialOut, ending: ev.Ending, now: int) -> None:
+        self._end_dial(dial, now)
+        self._dial_ended(dial, ending, ev.Blame.NONE, ev.Report(), now)
+
+    def _end_dial(self, dial: DialOut, now: int) -> None:
+        """Give a dial up from this end, and tell its office where the set-up went out."""
+        link = dial.link
+        if self._over(dial) or link is None:
+            return
+        self._remember(dial.office, dial.taken.ref, now)
+        self.outlet.to_office(dial.office, lines.down(dial.taken.ref, CAUSE_OVER), link)
+
+    def _over(self, dial: DialOut) -> bool:
+        """A dial is out no more; True where its set-up was never sent."""
+        dial.end()
+        if dial.timer is not None:
+            dial.timer.cancel()
+            dial.timer = None
+        dial.taken.out = None
+        if dial.office.dials.get(dial.taken.ref) is dial:
+            del dial.office.dials[dial.taken.ref]
+        return self.outlet.undial(dial)
+
+    def _remember(self, end: OfficeEnd, ref: str, now: int) -> None:
+        """A ref given up at an office, so that a late answer is known for one and released."""
+        given_up = end.given_up
+        given_up.pop(ref, None)
+        given_up[ref] = now
+        while given_up:
+            first = next(iter(given_up))
+            if len(given_up) <= MOST_REMEMBERED and now - given_up[first] <= LATE_KEPT:
+                break
+            del given_up[first]
+
+    def dial_lost(self, dial: DialOut, reached: bool, now: int) -> None:
+        """The link of a dial was lost, or never came up: then nothing ran."""
+        if dial.step is not Step.OUT:
+            return
+        self._over(dial)
+        ending = ev.Ending.RESET if reached else ev.Ending.UNREACHABLE
+        self._dial_ended(dial, ending, ev.Blame.NONE, ev.Report(), now)
+
+    def _dial_ended(
+        self, dial: DialOut, ending: ev.Ending, blame: ev.Blame, report: ev.Report, now: int
+    ) -> None:
+        self._ended(dial.taken.id, dial.number, dial.office.id, ending, blame, report, now)
+
+    def _ended(
+        self,
+        dialogue: int,
+        number: int,
+        office: str,
+        ending: ev.Ending,
+        blame: ev.Blame,
+        report: ev.Report,
+        now: int,
+        over: bool = False,
+    ) -> None:
+        self.counts[f"ending.{ending.name.lower()}"] += 1
+        if blame is not ev.Blame.NONE:
+            self.counts[f"blame.{blame.name.lower()}"] += 1
+        self.feed(ev.DialEnded(dialogue, number, office, ending, blame, 0, over, report), now)
+
+    # ---- offices ----
+
+    def office_said(self, end: OfficeEnd, line: lines.Line, now: int) -> None:
+        """A whole line from an office."""
+        match line.t:
+            case "up":
+                self._up(end, line, now)
+            case "down":
+                self._down(end, line, now)
+            case "gauge":
+                report = _report(line)
+                if report != ev.Report():
+                    self.feed(ev.Reported(end.id, False, True, report), now)
+            case "wait" | "ack" | "hb" | "hb_ok":
+                pass
+            case _:
+                self.counts["strays.line"] += 1
+
+    def _up(self, end: OfficeEnd, line: lines.Line, now: int) -> None:
+        dial = end.dials.get(line.ref)
+        if dial is None or dial.link is None:
+            if line.ref in end.given_up and line.ref not in end.calls:
+                # The dial was given up here while its answer was on the way: what stands there is released.
+                self.counts["late_answers_released"] += 1
+                self.outlet.to_office(end, lines.down(line.ref, CAUSE_OVER), None)
+            else:
+                self.counts["strays.up"] += 1
+            return
+        body = None if line.d is None else line.d.encode("utf-8", "replace")
+        if body is None or len(body) + len(dial.taken.echo) + 256 > sip.MAX_MESSAGE:
+            self.counts["answers_unreadable"] += 1
+            self._give_up_dial(dial, ev.Ending.RESET, now)
+            return
+        taken = dial.taken
+        self._over(dial)
+        self._forget(taken)
+        self.calls[taken.ref] = end.calls[taken.ref] = Call(taken.ref, end, taken.link, taken.id, dial.number)
+        self.counts["answer.stands"] += 1
+        self.outlet.to_caller(taken.link, sip.response(200, taken.echo, body))
+        self.feed(ev.Stood(taken.id, dial.number, now - dial.sent), now)
+        report = _report(line)
+        if report != ev.Report():
+            self.feed(ev.Reported(end.id, False, True, report), now)
+
+    def _down(self, end: OfficeEnd, line: lines.Line, now: int) -> None:
+        dial, call = end.dials.get(line.ref), end.calls.get(line.ref)
+        cause = CAUSE_CUT if line.c is None else line.c
+        if dial is not None and dial.link is not None:
+            self._over(dial)
+            ending = ENDINGS.get(cause, ev.Ending.RESET)
+            blame = BLAMES.get(str(line.f.get("note", "")), ev.Blame.NONE)
+            self._dial_ended(dial, ending, blame, _report(line), now)
+        elif call is not None:
+            ending = ev.Ending.ENDED_WELL if cause == CAUSE_OVER else ev.Ending.RESET
+            self._forget_call(call)
+            told = CAUSE_OVER if cause == CAUSE_OVER else CAUSE_CUT
+            self.releases.add(call.ref, _bye(call.ref, told), call.link, now)
+            self._call_ended(call, ending, _report(line), now)
+        elif line.ref not in end.given_up:
+            # After a restart here, a release may come before its caller has told of the call.
+            self.counts["strays.down"] += 1
+            self.over_unknown[line.ref] = (cause, now)
+            while self.over_unknown:
+                first = next(iter(self.over_unknown))
+                if (
+                    len(self.over_unknown) <= MOST_REMEMBERED
+                    and now - self.over_unknown[first][1] <= LATE_KEPT
+                ):
+                    break
+                del self.over_unknown[first]
+
+    def _forget_call(self, call: Call) -> None:
+        self.calls.pop(call.ref, None)
+        call.office.calls.pop(call.ref, None)
+
+    def _call_ended(self, call: Call, ending: ev.Ending, report: ev.Report, now: int) -> None:
+        if call.dialogue is not None:
+            self._ended(call.dialogue, call.dial, call.office.id, ending, ev.Blame.NONE, report, now, True)
+        self._let_go(call.office)
+
+    def _group_state(self, message: sip.Request, now: int) -> None:
+        """NOTIFY with a group's state; it wants no answer."""
+        end = self.offices.get(message.headers.get("x-office", ""))
+        if end is not None:
+            report = read_report(lines.figures(message.headers.get("x-load", "")))
+            self.feed(ev.Reported(end.id, False, True, report), now)
+
+    def office_refuses(self, end: OfficeEnd) -> None:
+        """No link to an office is up and it refuses new ones: unless that passes soon, its process has died."""
+        if end.calls:
+            self._cut_later(end, CUT_AFTER)
+
+    def office_reached(self, end: OfficeEnd) -> None:
+        """A link to an office is up."""
+        if end.cut is not None and end.standing is not ev.Standing.GONE:
+            end.cut.cancel()
+            end.cut = None
+
+    def _cut_later(self, end: OfficeEnd, after: int) -> None:
+        if end.cut is None:
+            end.cut = self.outlet.timer(after, lambda at: self._cut(end, at))
+
+    def _cut(self, end: OfficeEnd, now: int) -> None:
+        """An office is dead or gone: the calls that stood there are over, and their callers hear it."""
+        end.cut = None
+        if end.calls:
+            self.counts["calls_cut_with_office"] += len(end.calls)
+            self.outlet.log("calls_cut", office=end.id, calls=len(end.calls))
+        for call in list(end.calls.values()):
+            self._forget_call(call)
+            self.releases.add(call.ref, _bye(call.ref, CAUSE_CUT), call.link, now)
+            self._call_ended(call, ev.Ending.RESET, ev.Report(), now)
+        self._let_go(end)
+
+    # ---- the list ----
+
+    def listed(self, notice: Notice, remembered: bool, now: int) -> None:
+        """The board told an event; `remembered`: it was in the configuration."""
+        if notice.empty:
+            return
+        for row in notice.rows:
+            self._listed_row(row, now)
+        if notice.whole:
+            named = {row.id for row in notice.rows}
+            for end in self.offices.values():
+                if end.id not in named:
+                    end.standing = ev.Standing.GONE
+        heard = ev.Heard.CHANGES
+        if notice.whole:
+            heard = ev.Heard.REMEMBERED if remembered else ev.Heard.WHOLE
+        ends = [self.offices[row.id] for row in notice.rows]
+        entries = tuple(ev.Entry(end.id, end.number, end.standing, end.started) for end in ends)
+        self.feed(ev.Listed(heard, entries), now)
+        for end in list(self.offices.values()):
+            self._follow_standing(end, now)
+
+    def _listed_row(self, row: Row, now: int) -> None:
+        standing = STANDINGS[row.state]
+        # By the offset taken at the start: one start read twice gives the same time, and no other.
+        started = max(1, row.started_ms * 1000 - self.unix_at_zero) if row.started_ms else None
+        end = self.offices.get(row.id)
+        if end is None:
+            self.offices[row.id] = OfficeEnd(row.id, row.cell, row.address, standing, started)
+            self.outlet.log("office", office=row.id, number=row.cell, standing=standing.name, started=started)
+            return
+        if standing is not end.standing:
+            self.outlet.log("office", office=row.id, number=row.cell, standing=standing.name, started=started)
+        end.standing, end.started, end.number = standing, started, row.cell
+        if end.address != row.address:
+            self.outlet.drop_links(end, True)
+            end.address = row.address
+
+    def _follow_standing(self, end: OfficeEnd, now: int) -> None:
+        if end.number == self.number:
+            return
+        if end.standing is ev.Standing.READY:
+            self.outlet.keep_links(end)
+            return
+        for dial in list(end.dials.values()):
+            if dial.link is None:
+                # Guards rule 3: a set-up that waits here for a link to an office that drains is taken back.
+                self.counts["kept_back.drained"] += 1
+                self._over(dial)
+                self._dial_ended(dial, ev.Ending.NOT_SENT, ev.Blame.NONE, ev.Report(), now)
+        if end.standing is ev.Standing.GONE:
+            if end.calls:
+                self._cut_later(end, CUT_GONE_AFTER)
+            self._let_go(end)
+
+    def _let_go(self, end: OfficeEnd) -> None:
+        """Forget an office that is gone once nothing is left there: replaced ones must not pile up."""
+        if end.standing is ev.Standing.GONE and not end.calls and not end.dials:
+            if end.cut is not None:
+                end.cut.cancel()
+                end.cut = None
+            self.outlet.drop_links(end, False)
+            if self.offices.get(end.id) is end:
+                del self.offices[end.id]
+
+    # ---- others ----
+
+    def word(self, peer: int, text: bytes, now: int) -> None:
+        """Another call server said something."""
+        self.feed(ev.PeerSaid(peer, text), now)
+
+    @property
+    def owed(self) -> int:
+        """Dialogues taken that still wait for their answer."""
+        return len(self.taken)
+
+    def forfeit_all(self, now: int) -> None:
+        """The time to stop is up: what is still owed is answered."""
+        for taken in list(self.taken.values()):
+            self._refuse(taken, 500, "forfeited", "", now)
+
+
+KNOWN = frozenset(("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS", "NOTIFY"))
+assert (DRAINING, GONE) == (1, 2)  # STANDINGS is indexed by the board's states
+
+
+def _bye(ref: str, cause: int) -> bytes:
+    return sip.request("BYE", ref, 2, f"Reason: Q.850;cause={cause}\r\n")
+
+
+def _report(line: lines.Line) -> ev.Report:
+    load = line.f.get("load")
+    return ev.Report() if load is None else read_report(lines.figures(load))
--- /dev/null
+++ b/wellhitch/platform/offices.py
@@ -0,0 +1,287 @@
+"""Links to offices: the only file of the platform that touches them. Decides nothing; the core is told what came.
+
+Each office has a few links, so that a spoilt one takes few dials along: a set-up goes out on one on which nothing
+waits, where there is one, and another is opened meanwhile.
+"""
+
+import asyncio
+from collections import Counter
+from typing import Any, Protocol, cast
+
+from wellhitch.net.seam import Network
+from wellhitch.office_lines import codec as lines
+from wellhitch.platform.records import DialOut, OfficeEnd
+
+READ_BYTES = 64 * 1024  # of the one buffer that all links share
+PARTIAL_S = (
+    0.25  # that a line may take from its first byte to its last: an office writes a line whole, and while one
+)
+# stops short the answers behind it are held up
+AGAIN_S = 0.1  # before a link is tried again, doubling up to
+AGAIN_MOST_S = 1.0  # an office that restarts is reached soon, and one that is dead costs one try a second
+MOST_QUEUED = 512  # lines that wait for a link to an office: releases, which it would hear late
+
+
+class Hears(Protocol):
+    """Who is told what offices say."""
+
+    def office_said(self, end: OfficeEnd, line: lines.Line) -> None:
+        """A whole line came."""
+
+    def dial_lost(self, dial: DialOut, reached: bool) -> None:
+        """The link of a dial was lost, or never came up."""
+
+    def office_refuses(self, end: OfficeEnd) -> None:
+        """No link is up, and none could be opened."""
+
+    def office_reached(self, end: OfficeEnd) -> None:
+        """A link is up."""
+
+
+class OfficeLink(asyncio.BufferedProtocol):
+    """One link to an office."""
+
+    __slots__ = ("pool", "transport", "decoder", "dials", "partial", "__weakref__")
+
+    def __init__(self, pool: "Pool") -> None:
+        self.pool = pool
+        self.transport: asyncio.Transport | None = None
+        self.decoder = lines.Decoder()
+        self.dials: dict[DialOut, None] = {}
+        self.partial: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.pool.opened(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.links.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.transport is None:
+            return
+        if self.partial is not None:
+            self.partial.cancel()
+            self.partial = None
+        pool = self.pool
+        try:
+            said = self.decoder.feed(pool.links.buffer[:nbytes])
+        except lines.BadLine as bad:
+            self._take(bad.before)
+            self.spoilt(bad.limit)
+            return
+        self._take(said)
+        if self.decoder.pending and self.transport is not None:
+            self.partial = pool.links.loop.call_later(PARTIAL_S, self.spoilt, "line_stopped_short")
+
+    def _take(self, said: list[lines.Line]) -> None:
+        for line in said:
+            self.pool.links.hears.office_said(self.pool.end, line)
+
+    def spoilt(self, limit: str) -> None:
+        """Guards against an answer that cannot be read: what comes after it on this link can't be told apart, so the
+        link goes, and its unanswered dials with it."""
+        self.pool.links.counts[f"office.{limit}"] += 1
+        if self.transport is not None:
+            self.transport.abort()
+        self._gone()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._gone()
+
+    def _gone(self) -> None:
+        if self.transport is None:
+            return
+        self.transport = None
+        if self.partial is not None:
+            self.partial.cancel()
+            self.partial = None
+        self.pool.lost(self)
+
+
+class Pool:
+    """The links to one office, at most `links.most`."""
+
+    def __init__(self, links: "OfficeLinks", end: OfficeEnd) -> None:
+        self.links, self.end, self.address = links, end, end.address
+        self.up: dict[OfficeLink, None] = {}
+        self.opening = 0
+        self.waiting: dict[DialOut, tuple[bytes, Any]] = {}
+        self.queue: list[bytes] = []
+        self.kept = True  # links are wanted
+        self._again: Any = None
+        self._pause = AGAIN_S
+
+    # -- sending --
+
+    def dial(self, dial: DialOut, line: bytes) -> None:
+        """Send a set-up, or let it wait for a link."""
+        best, least = None, 1 << 30
+        for link in self.up:
+            if len(link.dials) < least:
+                best, least = link, len(link.dials)
+                if not least:
+                    break
+        if best is None:
+            due = self.links.loop.call_later(self.links.connect_within, self._unreached, dial)
+            self.waiting[dial] = line, due
+            if not self.opening:
+                self._open()
+            return
+        self._write(best, dial, line)
+        if least and len(self.up) + self.opening < self.links.most:
+            self._open()
+
+    def _write(self, link: OfficeLink, dial: DialOut, line: bytes) -> None:
+        assert link.transport is not None
+        dial.link = link
+        link.dials[dial] = None
+        link.transport.write(line)
+
+    def _unreached(self, dial: DialOut) -> None:
+        if self.waiting.pop(dial, None) is not None:
+            self.links.hears.dial_lost(dial, False)
+
+    def undial(self, dial: DialOut) -> bool:
+        """A dial is over; True where its set-up still waited."""
+        waited = self.waiting.pop(dial, None)
+        if waited is not None:
+            waited[1].cancel()
+            return True
+        link = dial.link
+        if isinstance(link, OfficeLink):
+            link.dials.pop(dial, None)
+        return False
+
+    def send(self, line: bytes, near: object | None) -> None:
+        """Send on `near` if it is up, else on any, else on the next."""
+        link = near if isinstance(near, OfficeLink) and near in self.up else next(iter(self.up), None)
+        if link is not None and link.transport is not None:
+            link.transport.write(line)
+        elif len(self.queue) < MOST_QUEUED:
+            self.queue.append(line)
+            if not self.opening and self._again is None:
+                self._open()
+        else:
+            self.links.counts["office.queue_full"] += 1
+
+    # -- links --
+
+    def keep(self) -> None:
+        """Keep a link up."""
+        self.kept = True
+        if not self.up and not self.opening and self._again is None:
+            self._open()
+
+    def _open(self) -> None:
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
+        self.opening += 1
+        self.links.network.connect(self.address, lambda: OfficeLink(self), self._failed)
+
+    def opened(self, link: OfficeLink) -> None:
+        """A link is up."""
+        self.opening -= 1
+        if not self.kept and not self.end.calls and not self.waiting and not self.queue:
+            assert link.transport is not None
+            link.transport.abort()
+            link.transport = None
+            return
+        self.up[link] = None
+        self._pause = AGAIN_S
+        self.links.hears.office_reached(self.end)
+        assert link.transport is not None
+        for line in self.queue:
+            link.transport.write(line)
+        self.queue.clear()
+        for dial, (line, due) in list(self.waiting.items()):
+            due.cancel()
+            self._write(link, dial, line)
+        self.waiting.clear()
+
+    def _failed(self, why: str) -> None:
+        self.opening -= 1
+        self.links.counts["office.link_failed"] += 1
+        if self.up or self.opening:
+            return
+        for dial, (_, due) in list(self.waiting.items()):
+            due.cancel()
+            self.waiting.pop(dial, None)
+            self.links.hears.dial_lost(dial, False)
+        self.links.hears.office_refuses(self.end)
+        self._later()
+
+    def _later(self) -> None:
+        if self._again is None and (self.kept or self.end.calls):
+            self._again = self.links.loop.call_later(self._pause, self._try_again)
+            self._pause = min(2 * self._pause, AGAIN_MOST_S)
+
+    def _try_again(self) -> None:
+        self._again = None
+        if not self.up and not self.opening and (self.kept or self.end.calls):
+            self._open()
+
+    def lost(self, link: OfficeLink) -> None:
+        """A link is gone, and its unanswered dials with it."""
+        was_up = self.up.pop(link, 0) is None
+        dials, link.dials = link.dials, {}
+        for dial in dials:
+            self.links.hears.dial_lost(dial, True)
+        if was_up and not self.up and not self.opening and (self.kept or self.end.calls):
+            self._open()
+
+    def drop(self, now: bool) -> None:
+        """Let the links go: at once, or those on which nothing is out."""
+        self.kept = False
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
+        for link in list(self.up):
+            if link.transport is not None and (now or not link.dials):
+                if now:
+                    link.transport.abort()
+                else:
+                    link.transport.close()
+                link._gone()
+
+
+class OfficeLinks:
+    """The links to all offices. `connect_within` in seconds; `most` links to one office."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        network: Network,
+        hears: Hears,
+        connect_within: float,
+        share: int,
+        counts: Counter[str],
+    ) -> None:
+        """`share`: descriptors for all links to offices together."""
+        self.loop, self.network, self.hears, self.connect_within = loop, network, hears, connect_within
+        self.share, self.counts = share, counts
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.pools: dict[OfficeEnd, Pool] = {}
+
+    @property
+    def most(self) -> int:
+        """Links to one office: its share of the descriptors, at most sixteen, which more dials than one link may lose
+        together seldom need."""
+        return max(2, min(16, self.share // max(1, len(self.pools))))
+
+    def pool(self, end: OfficeEnd) -> Pool:
+        """The links to an office."""
+        pool = self.pools.get(end)
+        if pool is None:
+            pool = self.pools[end] = Pool(self, end)
+        return pool
+
+    def drop(self, end: OfficeEnd, now: bool) -> None:
+        """Let an office's links go."""
+        pool = self.pools.pop(end, None)
+        if pool is not None:
+            pool.drop(now)
--- /dev/null
+++ b/wellhitch/platform/records.py
@@ -0,0 +1,88 @@
+"""Records of the platform's call server, by how long they live: a dial, a dialogue, a call that stands, an office.
+Pure. Nothing is decided by them; the decisions keep their own."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Protocol
+
+from wellhitch.interface.events import Standing
+
+
+class Timer(Protocol):
+    """A timer that can be taken back."""
+
+    def cancel(self) -> None:
+        """It will not ring."""
+
+
+class Step(Enum):
+    """How far a dial is."""
+
+    OUT = auto()  # handed to the office's links, unanswered
+    OVER = auto()
+
+
+@dataclass(slots=True, eq=False)
+class OfficeEnd:
+    """One office under its id: links, dials and calls belong to that, never to an address."""
+
+    id: str
+    number: int
+    address: str
+    standing: Standing
+    started: int | None
+    dials: dict[str, DialOut] = field(default_factory=dict)
+    calls: dict[str, Call] = field(default_factory=dict)
+    given_up: dict[str, int] = field(default_factory=dict)  # refs given up here, and when
+    cut: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A dialogue from its set-up to its answer. `echo`: the header lines that each response repeats."""
+
+    id: int
+    ref: str
+    link: Hashable
+    echo: str
+    use_case: str
+    key: str
+    description: str
+    destination: int
+    transit: bool
+    came: int
+    out: DialOut | None = None
+    dials: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class DialOut:
+    """One dial. `link`: the office's link that it went out on; None while it waits for one."""
+
+    taken: Taken
+    number: int
+    office: OfficeEnd
+    sent: int
+    step: Step = Step.OUT
+    timer: Timer | None = None
+    link: object | None = None
+
+    def end(self) -> None:
+        """It is out no more. Raises RuntimeError the second time: a defect of the server."""
+        if self.step is Step.OVER:
+            raise RuntimeError(f"dial {self.taken.ref}.{self.number} is over already")
+        self.step = Step.OVER
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A call that stands. `dialogue` and `dial` as the decisions know them; None for one from before a restart."""
+
+    ref: str
+    office: OfficeEnd
+    link: Hashable
+    dialogue: int | None
+    dial: int
--- /dev/null
+++ b/wellhitch/platform/service.py
@@ -0,0 +1,242 @@
+"""One running call server on the platform: the core with its shell, on a loop and a network, real or emulated."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Hashable
+from typing import Any, Protocol
+
+from wellhitch.board.codec import Notice
+from wellhitch.net.seam import Network, Sender, now_us
+from wellhitch.office_lines.codec import Line
+from wellhitch.platform.callers import CallerLink, Door
+from wellhitch.platform.configuration import Told
+from wellhitch.platform.core import Core
+from wellhitch.platform.noticeboard import Follower
+from wellhitch.platform.offices import OfficeLinks
+from wellhitch.platform.records import DialOut, OfficeEnd, Timer
+from wellhitch.sip.codec import Message
+
+WORD_BYTES = 256  # of a datagram: a longer one is against the platform's rules
+STOP_LISTENING_S = 0.8  # after SIGTERM new connections and requests keep coming for up to 0.7
+STOP_LEAST_S = 1.0  # before the process ends, for what came at the very last
+STOP_MOST_S = 3.4  # SIGKILL comes no sooner than 3.7 s after; what is owed then is answered before
+STOP_LOOK_S = 0.02  # between looks at what is still owed
+STATUS_S = 5.0  # between lines of the log on how things stand
+SPARE = 16  # descriptors for the listener, the board, datagrams, standard streams, the loop, files read at signals
+
+
+class Log(Protocol):
+    """Takes one event of the log with its facts."""
+
+    def __call__(self, event: str, **facts: Any) -> None: ...
+
+
+def shares(sockets: int) -> tuple[int, int, int]:
+    """Of so many descriptors: those for callers, those for links to offices, and how many connections may wait to be
+    taken: asyncio takes them all in one turn, before any is counted. An eighth for offices; callers of the platform
+    hold no more than a third, and get what is left, over a half."""
+    offices, waiting = sockets // 8, min(256, sockets // 4)
+    return sockets - offices - waiting - SPARE, offices, waiting
+
+
+class Service:
+    """The call server. `unix_now`: the wall clock in us; `ended` is called once it has stopped."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        network: Network,
+        told: Told,
+        unix_now: Callable[[], int],
+        log: Log,
+        ended: Callable[[], None],
+    ) -> None:
+        self.loop, self.network, self.told, self.write_log, self.ended = loop, network, told, log, ended
+        for_callers, for_offices, _ = shares(told.sockets)
+        self.core = Core(told.opened, told.max_open, unix_now() - now_us(loop), self)
+        self.counts: Counter[str] = self.core.counts
+        self.door = Door(loop, network, self, for_callers, self.counts)
+        self.links = OfficeLinks(loop, network, self, told.connect_within / 1e6, for_offices, self.counts)
+        self.board = Follower(loop, network, told.place.board, told.number, self._told, log, self.counts)
+        self.peers = {address: at for at, address in enumerate(told.place.peers)}
+        self.sender: Sender | None = None
+        self.stopping = False
+        self._stop_at = 0.0
+
+    # ---- its life ----
+
+    def start(self) -> None:
+        """Learn the list, reach the offices, listen, follow the board."""
+        self.write_log(
+            "started", name=self.told.place.name, number=self.core.number, seed=self.told.opened.seed
+        )
+        self.core.start(self.now())
+        for notice in self.told.known:
+            self.core.listed(notice, True, self.now())
+        self.board.start()
+        if self.told.place.peer_listen:
+            self.network.datagrams(self.told.place.peer_listen, self._datagram, self._may_send)
+        self.door.listen(
+            self.told.place.listen, lambda: self.write_log("listening", address=self.told.place.listen)
+        )
+        self.loop.call_later(STATUS_S, self._status)
+
+    def reconfigured(self, told: Told) -> None:
+        """SIGHUP: the configuration was read again. Only the board's address is followed; nothing in flight is
+        touched."""
+        if told.place.board != self.board.address:
+            self.board.move(told.place.board)
+
+    def stop(self) -> None:
+        """SIGTERM: all that was and is still taken gets its answer, calls that stand are not cut, then it ends."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.write_log("stopping", owed=self.core.owed, standing=len(self.core.calls))
+        self._stop_at = self.loop.time()
+        self.loop.call_later(STOP_LISTENING_S, self.door.stop_listening)
+        self.loop.call_later(STOP_LEAST_S, self._look_at_owed)
+
+    def _look_at_owed(self) -> None:
+        late = self.loop.time() - self._stop_at >= STOP_MOST_S
+        if self.core.owed and not late:
+            self.loop.call_later(STOP_LOOK_S, self._look_at_owed)
+            return
+        if self.core.owed:
+            self.counts["stop.forfeited"] += self.core.owed
+            self.core.forfeit_all(self.now())
+        self.write_log("stopped", standing=len(self.core.calls), counts=dict(self.counts))
+        self.board.stop()
+        if self.sender is not None:
+            self.sender.close()
+        self.door.close()
+        self.loop.call_later(STOP_LOOK_S, self.ended)
+
+    def now(self) -> int:
+        """The loop's time in us."""
+        return now_us(self.loop)
+
+    def _status(self) -> None:
+        self.loop.call_later(STATUS_S, self._status)
+        self.write_log("status", **self.status())
+
+    def status(self) -> dict[str, Any]:
+        """What is believed now, for people and for holding it against the sockets."""
+        core = self.core
+        offices = {
+            office.id: {
+                "number": office.number,
+                "standing": office.standing.name.lower(),
+                "free": office.free,
+                "size": office.size,
+                "price": round(office.price, 3),
+                "links": len(self.links.pools[end].up) if end in self.links.pools else 0,
+                "out": len(end.dials),
+                "calls": len(end.calls),
+            }
+            for end in core.offices.values()
+            if (office := core.exchange.offices.get(end.id)) is not None
+        }
+        return {
+            "owed": core.owed,
+            "held": len(core.exchange.dialogues),
+            "standing": len(core.calls),
+            "callers": len(self.door.links),
+            "releases": len(core.releases),
+            "own_price": round(core.exchange.own_price, 3),
+            "board": self.board.number,
+            "offices": offices,
+            "counts": dict(core.counts),
+        }
+
+    # ---- the core's outlet ----
+
+    def to_caller(self, link: Hashable, data: bytes) -> bool:
+        """As `core.Outlet`."""
+        return isinstance(link, CallerLink) and link.write(data)
+
+    def close_caller(self, link: Hashable) -> None:
+        """As `core.Outlet`."""
+        if isinstance(link, CallerLink):
+            link.close()
+
+    def dial(self, dial: DialOut, line: bytes) -> None:
+        """As `core.Outlet`."""
+        self.links.pool(dial.office).dial(dial, line)
+
+    def undial(self, dial: DialOut) -> bool:
+        """As `core.Outlet`."""
+        pool = self.links.pools.get(dial.office)
+        return pool is not None and pool.undial(dial)
+
+    def to_office(self, end: OfficeEnd, line: bytes, near: object | None) -> None:
+        """As `core.Outlet`."""
+        self.links.pool(end).send(line, near)
+
+    def keep_links(self, end: OfficeEnd) -> None:
+        """As `core.Outlet`."""
+        self.links.pool(end).keep()
+
+    def drop_links(self, end: OfficeEnd, now: bool) -> None:
+        """As `core.Outlet`."""
+        self.links.drop(end, now)
+
+    def tell_peers(self, text: bytes) -> None:
+        """As `core.Outlet`."""
+        if self.sender is not None and self.told.place.peers_all and len(text) <= WORD_BYTES:
+            self.sender.send(text, self.told.place.peers_all)
+            self.counts["words_sent"] += 1
+
+    def timer(self, after: int, ring: Callable[[int], None]) -> Timer:
+        """As `core.Outlet`."""
+        return self.loop.call_later(after / 1e6, self._ring, ring)
+
+    def _ring(self, ring: Callable[[int], None]) -> None:
+        ring(self.now())
+
+    def log(self, event: str, **facts: Any) -> None:
+        """As `core.Outlet`."""
+        self.write_log(event, **facts)
+
+    # ---- what comes ----
+
+    def caller_said(self, link: CallerLink, message: Message) -> None:
+        """As `callers.Hears`."""
+        self.core.caller_said(link, message, self.now())
+
+    def caller_closed(self, link: CallerLink) -> None:
+        """As `callers.Hears`."""
+        self.core.caller_closed(link, self.now())
+
+    def open_on(self, link: CallerLink) -> int:
+        """As `callers.Hears`."""
+        return self.core.open_on(link)
+
+    def office_said(self, end: OfficeEnd, line: Line) -> None:
+        """As `offices.Hears`."""
+        self.core.office_said(end, line, self.now())
+
+    def dial_lost(self, dial: DialOut, reached: bool) -> None:
+        """As `offices.Hears`."""
+        self.core.dial_lost(dial, reached, self.now())
+
+    def office_refuses(self, end: OfficeEnd) -> None:
+        """As `offices.Hears`."""
+        self.core.office_refuses(end)
+
+    def office_reached(self, end: OfficeEnd) -> None:
+        """As `offices.Hears`."""
+        self.core.office_reached(end)
+
+    def _told(self, notice: Notice) -> None:
+        self.core.listed(notice, False, self.now())
+
+    def _may_send(self, sender: Sender) -> None:
+        self.sender = sender
+
+    def _datagram(self, data: bytes, address: str) -> None:
+        peer = self.peers.get(address)
+        if peer is None or len(data) > WORD_BYTES:
+            self.counts["strays.datagram"] += 1
+            return
+        self.core.word(peer, data, self.now())
--- a/wellhitch/settings/checked.py
+++ b/wellhitch/settings/checked.py
@@ -67,3 +67,24 @@
     if lines:
         raise Faults(where, lines)
     return msgspec.convert(value, wanted)
+
+
+def read_open(value: Any, wanted: type[T], where: str) -> T:
+    """The typed record out of what another program wrote: fields it has more are skipped, figures may be text.
+    Raises Faults with the first thing that is wrong, its field and its value."""
+    try:
+        return msgspec.convert(value, wanted, strict=False)
+    except msgspec.ValidationError as fault:
+        text, _, path = str(fault).partition(" - at `$")
+        path = path.rstrip("`").lstrip(".")
+        raise Faults(where, [f"{path or 'the file'} = {shown(_at(value, path))}: {text}"]) from None
+
+
+def _at(value: Any, path: str) -> Any:
+    """The value at a path such as `a.b[3].c`, as far as it leads."""
+    for step in path.replace("[", ".").replace("]", "").split("."):
+        if isinstance(value, dict) and step in value:
+            value = value[step]
+        elif isinstance(value, list) and step.isdigit() and int(step) < len(value):
+            value = value[int(step)]
+    return value
