Releases go out again on another connection until a caller answers

A trace of each BYE and each 200: every usual caller answers BYE within a millisecond; all 24 unheard ones of one node had gone to connections of clients that answer nothing, after the door had evicted the connection of the set-up (door.full 870) for want of descriptors. Ruled out: releases dropped for age, links closed under way. At fault: Door.opened took any connection without an open set-up, also one with calls standing; Releases took any used connection for a caller's.

Now: what is not answered within 0.2 s goes out on another, those that answer first; the door evicts connections with calls last, closes those it has refused nonsense on, and idle ones after 6 s.

--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -14,6 +14,7 @@
 
 SWEEP_S = 0.25  # between looks at connections that are overdue: an eighth of the shortest limit
 SILENT_S = 2.0  # that a connection may stay without a whole message: a refusal or a close is due within three
+IDLE_S = 6.0  # that a connection may stay on which nothing is open or stands: usual callers close theirs after four
 HALF_S = 2.0  # that a message may take from its first byte to its last, for the same reason
 MOST_UNREAD = 64 * 1024  # bytes that wait for a caller to read; some two hundred answers
 MOST_OPEN = 400  # set-ups open on one connection; usual callers have tens
@@ -32,6 +33,9 @@
     def open_on(self, link: "CallerLink") -> int:
         """How many set-ups are open on it."""
 
+    def standing_on(self, link: "CallerLink") -> int:
+        """How many calls stand whose set-up came on it."""
+
 
 class CallerLink(asyncio.BufferedProtocol):
     """One connection from a caller."""
@@ -75,6 +79,8 @@
             self._refuse_and_close(bad)
             return
         self._take(messages)
+        if messages:
+            self.since = self.door.loop.time()
         if not self.decoder.pending:
             self.half_since = None
         elif self.half_since is None or messages:
@@ -154,14 +160,15 @@
 
     def opened(self, link: CallerLink) -> None:
         """A connection is there. Guards the descriptors: where there are too many, one that has said nothing yet goes,
-        else one on which nothing is open, else the new one."""
+        else one on which nothing is open and nothing stands, else one on which nothing is open, else the new one."""
         self.links[link] = None
         if len(self.links) <= self.most:
             return
         self.counts["door.full"] += 1
         gone = next((one for one in self.links if not one.spoke and one is not link), None)
         if gone is None:
-            gone = next((one for one in self.links if one is not link and not self.hears.open_on(one)), link)
+            idle = [one for one in self.links if one is not link and not self.hears.open_on(one)]
+            gone = next((one for one in idle if not self.hears.standing_on(one)), idle[0] if idle else link)
         self._abort(gone)
 
     def _abort(self, link: CallerLink) -> None:
@@ -188,6 +195,13 @@
             elif not link.spoke and now - link.since > SILENT_S:
                 self.counts["door.silent"] += 1
                 link.close()
+            elif (
+                now - link.since > IDLE_S
+                and not self.hears.open_on(link)
+                and not self.hears.standing_on(link)
+            ):
+                self.counts["door.idle"] += 1
+                link.close()
 
     def stop_listening(self) -> None:
         """Take no new connections."""
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -101,8 +101,9 @@
         self.by_ref: dict[str, Taken] = {}
         self.by_link: dict[Hashable, dict[str, Taken]] = {}
         self.calls: dict[str, Call] = {}
+        self.standing: Counter[Hashable] = Counter()  # calls by the connection of their set-up
         self.offices: dict[str, OfficeEnd] = {}
-        self.releases = Releases(outlet.to_caller)
+        self.releases = Releases(outlet.to_caller, outlet.timer)
         self.over_unknown: dict[str, tuple[int, int]] = {}  # releases of calls not known yet: cause and when
         self._next_id = 0
         self._use_cases = {use.name: use for use in opened.use_cases}
@@ -149,8 +150,7 @@
     def caller_said(self, link: Hashable, message: sip.Message, now: int) -> None:
         """A whole message from a caller."""
         if isinstance(message, sip.Response):
-            ref = message.headers.get("call-id", "")
-            self.releases.heard(ref)
+            self.releases.heard(message.headers.get("call-id", ""), link)
             return
         self.counts[f"caller.{message.method if message.method in KNOWN else 'other'}"] += 1
         match message.method:
@@ -174,6 +174,9 @@
         """Refuse at the door what was never taken."""
         self.counts[f"door.{limit}"] += 1
         self.outlet.to_caller(link, sip.response(status, sip.echo(message)))
+        if status == 400 and not self.open_on(link) and not self.standing_on(link):
+            # What no usual caller says: such connections come by the hundreds and would take up all descriptors.
+            self.outlet.close_caller(link)
 
     def _invited(self, link: Hashable, message: sip.Request, now: int) -> None:
         set_up = read_set_up(message, self._use_cases)
@@ -249,7 +252,7 @@
         if end is None:  # gone while this call server was away, and its calls with it
             self.releases.add(ref, _bye(ref, CAUSE_CUT), link, now)
             return
-        self.calls[ref] = end.calls[ref] = Call(ref, end, link, None, 0)
+        self._stand(Call(ref, end, link, None, 0))
         if end.standing is ev.Standing.GONE:
             self._cut_later(end, CUT_GONE_AFTER)
 
@@ -282,7 +285,7 @@
             self._gone(taken, now)
         else:
             self.counts["strays.bye"] += 1
-            self.releases.heard(ref)  # both ends released at the same moment
+            self.releases.heard(ref, link)  # both ends released at the same moment
 
     def _released(self, call: Call, cause: int, now: int) -> None:
         """A call is over from the caller's side."""
@@ -302,6 +305,10 @@
         """How many set-ups are open on a caller's connection."""
         return len(self.by_link.get(link, ()))
 
+    def standing_on(self, link: Hashable) -> int:
+        """How many calls stand whose set-up came on a caller's connection."""
+        return self.standing.get(link, 0)
+
     def _gone(self, taken: Taken, now: int) -> None:
         """The caller waits no more, and no answer is owed."""
         self.counts["answer.gone"] += 1
@@ -461,7 +468,7 @@
         taken = dial.taken
         self._over(dial)
         self._forget(taken)
-        self.calls[taken.ref] = end.calls[taken.ref] = Call(taken.ref, end, taken.link, taken.id, dial.number)
+        self._stand(Call(taken.ref, end, taken.link, taken.id, dial.number))
         self.counts["answer.stands"] += 1
         self.outlet.to_caller(taken.link, sip.response(200, taken.echo, body))
         self.feed(ev.Stood(taken.id, dial.number, now - dial.sent), now)
@@ -496,9 +503,16 @@
                     break
                 del self.over_unknown[first]
 
+    def _stand(self, call: Call) -> None:
+        self.calls[call.ref] = call.office.calls[call.ref] = call
+        self.standing[call.link] += 1
+
     def _forget_call(self, call: Call) -> None:
         self.calls.pop(call.ref, None)
         call.office.calls.pop(call.ref, None)
+        self.standing[call.link] -= 1
+        if self.standing[call.link] <= 0:
+            del self.standing[call.link]
 
     def _call_ended(self, call: Call, ending: ev.Ending, report: ev.Report, now: int) -> None:
         if call.dialogue is not None:
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -143,6 +143,8 @@
             "standing": len(core.calls),
             "callers": len(self.door.links),
             "releases": len(core.releases),
+            "releases_again": core.releases.again,
+            "releases_dropped": core.releases.dropped,
             "own_price": round(core.exchange.own_price, 3),
             "board": self.board.number,
             "offices": offices,
@@ -212,6 +214,10 @@
         """As `callers.Hears`."""
         return self.core.open_on(link)
 
+    def standing_on(self, link: CallerLink) -> int:
+        """As `callers.Hears`."""
+        return self.core.standing_on(link)
+
     def office_said(self, end: OfficeEnd, line: Line) -> None:
         """As `offices.Hears`."""
         self.core.office_said(end, line, self.now())
