Tests of the platform's call server; a burst at the door puts out one connection each

Seen by a test with 400 silent connections: 400 stayed where 144 may. Door.opened took the first silent connection, which it had reset already and which asyncio reports lost only in the next turn; it leaves the door's list at once now. A set-up followed by noise in one read is not dialled any more: its connection closes, so no answer could arrive.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 import pytest
+from platform_world import DRAINING, GONE, READY, SECOND, UNIX, World, invite, row
 
-from tests.platform_world import DRAINING, GONE, READY, SECOND, UNIX, World, invite, row
 from wellhitch.board import codec as board_codec
 from wellhitch.board.codec import Notice
 from wellhitch.deciding import runner as runner_module
@@ -275,7 +275,7 @@
     # Connections of bad clients look used too; on the day of bad clients 167 releases were lost on them.
     world = World()
     caller, usual = world.standing(A), world.standing(ref(2))
-    strangers = [world.standing(ref(10 + n), world.caller(answers_bye=False)) for n in range(3)]
+    strangers = [world.standing(ref(20 + n), world.caller(answers_bye=False)) for n in range(3)]
     caller.close()
     world.run(0.1)
     over = world.loop.time()
@@ -388,12 +388,9 @@
 
 def test_nothing_new_goes_to_an_office_that_drains_and_what_waits_for_a_link_is_taken_back() -> None:
     world = World()
-    world.net.spoil("10.0.0.1", "10.1.0.1").broken = True
+    world.net.delay = lambda here, there: 200_000 if "10.1.0.1" in (here, there) else 1000
     world.offices[1].cut()
-    world.run(0.05)
-    late = world.net.spoil("10.0.0.1", "10.1.0.1")
-    late.broken, late.late = False, 200_000  # links come up only after a while
-    world.run(0.2)
+    world.run(0.05)  # a link is on its way up
     caller = world.caller()
     caller.say(invite(A))
     world.run(0.05)
@@ -416,7 +413,7 @@
 def test_a_new_office_at_the_address_of_one_gone_is_another() -> None:
     world = World()
     caller = world.standing(A)
-    world.board.tell(row(1, GONE), row(1, READY, 0x77, 5, host="10.1.0.1"))
+    world.board.tell(row(1, GONE), row(1, READY, 0x77, host="10.1.0.1"))
     world.run(1)
     assert len(caller.byes(A)) == 1
     world.standing(ref(2), caller)
@@ -580,7 +577,7 @@
 def test_a_caller_that_never_reads_is_let_go_and_others_are_served() -> None:
     world = World()
     deaf = world.caller("10.9.9.9", reads=False)
-    for n in range(600):
+    for n in range(900):
         deaf.say(plain("OPTIONS", ref(n)))
     world.run(1)
     world.standing(A)
@@ -662,6 +659,7 @@
     else:
         caller.say(invite(A))
     world.run(0.1)
+    world.offices[2].ends[0].write(b'{"t":"gauge","ref":"0","f":{"load":"spare:9;total:50"}}\n')
     world.board.tell(row(2, READY))
     if A in world.core.calls:
         world.offices[1].down(A, 16)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -23,7 +23,14 @@
 
 def sheet(**over: Any) -> dict[str, Any]:
     """A configuration as the platform writes it."""
-    row = {"addr": "127.0.0.1:9", "cell": 0, "id": "s-00000000", "state": "up", "started_ms": 0, "weight": 1.0}
+    row = {
+        "addr": "127.0.0.1:9",
+        "cell": 0,
+        "id": "s-00000000",
+        "state": "up",
+        "started_ms": 0,
+        "weight": 1.0,
+    }
     made = {
         "name": "n0",
         "listen": "127.0.0.1:0",
@@ -47,9 +54,24 @@
                     "group": "all",
                 }
             ],
-            "family_info": {"self_no": 0, "topology": "meshed", "clear_wait_ns": 100000000, "class_hold_ns": [1]},
-            "limits": {"most_tries": 5, "max_open": 20000, "connect_timeout_ns": 500000000, "may_cancel": True},
-            "rules": {"drain_grace_ns": 250000000, "cold_from": 0.33, "cold_ns": 15000000000, "fall_multiple": 2.5},
+            "family_info": {
+                "self_no": 0,
+                "topology": "meshed",
+                "clear_wait_ns": 100000000,
+                "class_hold_ns": [1],
+            },
+            "limits": {
+                "most_tries": 5,
+                "max_open": 20000,
+                "connect_timeout_ns": 500000000,
+                "may_cancel": True,
+            },
+            "rules": {
+                "drain_grace_ns": 250000000,
+                "cold_from": 0.33,
+                "cold_ns": 15000000000,
+                "fall_multiple": 2.5,
+            },
         },
     }
     made.update(over)
@@ -79,7 +101,7 @@
 WRONG: list[tuple[Any, str]] = [
     ("", "config.json: not JSON"),
     (json.dumps(sheet())[:200], "config.json: not JSON"),
-    ("[]", "config.json: the file = []"),
+    ("[]", r"config.json: the file = \[\]"),
     (sheet(listen=5), "listen = 5"),
     (sheet(listen="localhost:1"), "listen = 'localhost:1'"),
     (sheet(listen="127.0.0.1"), "listen = '127.0.0.1'"),
@@ -89,14 +111,19 @@
     (sheet(limits={"sockets": "many"}), "limits.sockets = 'many'"),
     (sheet(peers=["nowhere"]), r"peers\[0\] = 'nowhere'"),
     (sheet(settings=_settings(classes=[])), "settings.classes"),
-    (sheet(settings=_settings(classes=[{"name": "a", "deadline_ns": "x"}])), r"settings.classes\[0\].deadline_ns = 'x'"),
+    (
+        sheet(settings=_settings(classes=[{"name": "a", "deadline_ns": "x"}])),
+        r"settings.classes\[0\].deadline_ns = 'x'",
+    ),
     (sheet(settings=_settings(rules={"cold_ns": []})), r"settings.rules.cold_ns = \[\]"),
     (sheet(known={"rev": 1}), "notices"),
 ]
 
 
 @pytest.mark.parametrize(("value", "said"), WRONG)
-def test_a_wrong_configuration_is_one_line_with_file_field_and_value(tmp_path: Path, value: Any, said: str) -> None:
+def test_a_wrong_configuration_is_one_line_with_file_field_and_value(
+    tmp_path: Path, value: Any, said: str
+) -> None:
     with pytest.raises(Faults, match=said) as caught:
         read_configuration(put(tmp_path, value))
     assert len(caught.value.lines) == 1 and str(tmp_path) in str(caught.value)
@@ -150,7 +177,9 @@
         self.until("listening")
 
     def lines(self, event: str) -> list[dict[str, Any]]:
-        return [one for line in self.log.read_text().splitlines() if (one := json.loads(line))["event"] == event]
+        return [
+            one for line in self.log.read_text().splitlines() if (one := json.loads(line))["event"] == event
+        ]
 
     def until(self, event: str) -> dict[str, Any]:
         for _ in range(PATIENCE * 50):
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -74,7 +74,10 @@
         try:
             messages = self.decoder.feed(self.door.buffer[:nbytes])
         except sip.BadSip as bad:
-            self._take(bad.before)
+            # The connection closes, so that no answer to a set-up before the noise could arrive: none is dialled.
+            self._take(
+                [one for one in bad.before if not (isinstance(one, sip.Request) and one.method == "INVITE")]
+            )
             self.door.counts[f"door.{bad.limit}"] += 1
             self._refuse_and_close(bad)
             return
@@ -172,6 +175,9 @@
         self._abort(gone)
 
     def _abort(self, link: CallerLink) -> None:
+        # It counts no more from here on: asyncio tells that it is lost only in the next turn, and in one turn a burst
+        # brings hundreds, each of which must put another one out.
+        self.links.pop(link, None)
         link.closing_since = link.closing_since or self.loop.time()
         if link.transport is not None:
             link.transport.abort()
