A call that ended with its answer lost is over and not dialled again

A trace of every line by id: of nine dialogues whose office said 'down 16' before any answer, the decisions were told of a reset and dialled three again; two of those stood on for over a second under the same id, and these two are the lost ones. Ruled out: late answers after a give-up (their second 'down' was lost on nobody), clients that went away. At fault: Core._down took cause 16 before the answer for a reset; it means that the call has come to its end. Now its dialogue is over and answered at once.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -166,6 +166,21 @@
     assert caller.statuses(A) == [200] and A in world.core.calls
 
 
+def test_a_call_that_ended_with_its_answer_lost_is_over_and_not_dialled_again() -> None:
+    # It was, and stood a second time under its id: on a day with late answers two callers were not told in time that
+    # the first had ended.
+    world = World()
+    world.offices[1].answers = False
+    caller = world.caller()
+    caller.say(invite(A))
+    assert world.until(1, lambda: A in world.offices[1].by_ref)
+    world.offices[1].down(A, 16)
+    world.run(2)
+    assert caller.statuses(A) == [500] and not caller.byes(A)
+    assert sum(len(office.said("new")) for office in world.offices.values()) == 1
+    assert not world.core.taken and not world.core.exchange.dialogues
+
+
 def test_an_answer_without_its_description_is_none() -> None:
     world = World()
     world.offices[1].answers = world.offices[2].answers = False
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -479,7 +479,17 @@
     def _down(self, end: OfficeEnd, line: lines.Line, now: int) -> None:
         dial, call = end.dials.get(line.ref), end.calls.get(line.ref)
         cause = CAUSE_CUT if line.c is None else line.c
-        if dial is not None and dial.link is not None:
+        if dial is not None and dial.link is not None and cause == CAUSE_OVER:
+            # The call has come to its end, and its answer was lost on the way: it stood, so the dialogue is over.
+            # Dialled again it stood a second time under its id, while its caller was owed a release of the first.
+            self.counts["answers_lost"] += 1
+            self._over(dial)
+            taken = dial.taken
+            self._ended(
+                taken.id, dial.number, end.id, ev.Ending.ENDED_WELL, ev.Blame.NONE, _report(line), now, True
+            )
+            self._refuse(taken, 500, "forfeited", "", now)
+        elif dial is not None and dial.link is not None:
             self._over(dial)
             ending = ENDINGS.get(cause, ev.Ending.RESET)
             blame = BLAMES.get(str(line.f.get("note", "")), ev.Blame.NONE)
