A fault on a route that answers others is its dialogue's own, no sign of load

A trace of all releases before an answer: 97 of 107 are cause 47 without a note, all from bad clients' well-formed set-ups, 4 of them over a tandem; no fault from a usual caller. Ruled out: processors (no 'overload', p99 62 ms), circuits, spoilt links.

At fault: rules.dial_ended counted each such fault as a full processor (0.4 of price) and shut its tandem for 5 s. Changed: not where another dial on the route was answered within the last second.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -262,6 +262,18 @@
     assert exchange.by_number[2].fulls == 0 and 1 in exchange.by_number[2].no_way_on
 
 
+def test_fault_on_a_route_that_answers_others_is_its_dialogues_own(exchange, new_dialogue, dial_out):
+    # On the platform, callers of numbers that nobody has priced whole offices and shut tandems for five seconds.
+    for number in (1, 2):
+        answered = dial_out(new_dialogue(), number)
+        answered.took, answered.answered = 40_000, True
+    direct, round_about = new_dialogue(), new_dialogue()
+    dial_out(direct), dial_out(round_about, number=2)
+    assert isinstance(rules.dial_ended(exchange, ended(direct, "office-1", Ending.FAULT), SECOND)[0], PushBack)
+    rules.dial_ended(exchange, ended(round_about, "office-2", Ending.FAULT), SECOND)
+    assert exchange.by_number[1].fulls == 0 and not exchange.by_number[2].no_way_on
+
+
 # routes
 
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -356,15 +356,16 @@
     destination = x.by_number.get(dialogue.destination)
     # A processor that fails every set-up answers quickly and its groups look free, so that it would draw all.
     fault = event.ending is ev.Ending.FAULT and event.blame is not ev.Blame.LINES_BUSY
+    blamed = fault and not answers_others(x, dial)
     full = event.blame is ev.Blame.PROCESSOR_FULL or event.ending is ev.Ending.UNREACHABLE
     if event.ending is ev.Ending.NOT_SENT:
         x.own_fulls += event.blame is ev.Blame.PROCESSOR_FULL
         office.free += dialogue.width  # nothing was taken, and no report need follow
-    elif full or (fault and dial.direct):
+    elif full or (blamed and dial.direct):
         office.fulls += 1
     elif event.blame is ev.Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
-    elif event.blame is ev.Blame.TURNED_BACK or fault:
+    elif event.blame is ev.Blame.TURNED_BACK or blamed:
         # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
@@ -393,6 +394,17 @@
     return place_dialogue(x, dialogue, now)
 
 
+def answers_others(x: Exchange, dial: Dial) -> bool:
+    """Whether other dials on this route were answered of late (exception): then a fault is its dialogue's
+    own, such as a number that nobody has, and no sign of a processor. A few such callers priced offices."""
+    return any(
+        other.answered
+        and other.office is dial.office
+        and other.dialogue.destination == dial.dialogue.destination
+        for other in x.recent
+    )
+
+
 def lines_busy(called: CalledNumber, now: int) -> None:
     """Many callers of one number (exception): while its lines are busy, set-ups to it are pushed back unsent,
     for a pause that doubles with each busy answer and ends with the first dialogue that stands. From half a
