A tandem that turned back after waiting in vain does not rest while it leads others on

A trace of each push-back with what was known: of 250 late ones at exchange 2, all stood before a full direct group and 'tandem rest', although the tandem had 35 to 76 free circuits and no price; the three turn-backs that shut it took 1.03 s each, and the tandem's own log shows its transit dials forfeited at 0.98 s: answers lost beyond it, no full group (those turn back in 50 ms). Ruled out: cold budget, prices, advice.

At fault: rules.dial_ended rested a tandem 5 s for any turn-back. Changed: not where it came after four usual delays and the route answered others in the last second.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -269,11 +269,27 @@
         answered.took, answered.answered = 40_000, True
     direct, round_about = new_dialogue(), new_dialogue()
     dial_out(direct), dial_out(round_about, number=2)
-    assert isinstance(rules.dial_ended(exchange, ended(direct, "office-1", Ending.FAULT), SECOND)[0], PushBack)
+    assert isinstance(
+        rules.dial_ended(exchange, ended(direct, "office-1", Ending.FAULT), SECOND)[0], PushBack
+    )
     rules.dial_ended(exchange, ended(round_about, "office-2", Ending.FAULT), SECOND)
     assert exchange.by_number[1].fulls == 0 and not exchange.by_number[2].no_way_on
 
 
+def test_tandem_that_turned_back_after_waiting_in_vain_does_not_rest_while_it_leads_on(
+    exchange, new_dialogue, dial_out
+):
+    # On a day of lost answers three such turn-backs shut the only tandem for most of it: 250 dialogues pushed back.
+    answered = dial_out(new_dialogue(), 2)
+    answered.took, answered.answered = 40_000, True
+    waited, at_once = new_dialogue(), new_dialogue()
+    dial_out(waited, number=2, sent=0), dial_out(at_once, number=2, sent=SECOND - 50_000)
+    rules.dial_ended(exchange, ended(waited, "office-2", Ending.FULL, Blame.TURNED_BACK), SECOND)
+    assert not exchange.by_number[2].no_way_on
+    rules.dial_ended(exchange, ended(at_once, "office-2", Ending.FULL, Blame.TURNED_BACK), SECOND)
+    assert exchange.by_number[2].no_way_on
+
+
 # routes
 
 
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -365,7 +365,7 @@
         office.fulls += 1
     elif event.blame is ev.Blame.FAR_PROCESSOR_FULL and destination:
         destination.fulls += 1
-    elif event.blame is ev.Blame.TURNED_BACK or blamed:
+    elif blamed or (event.blame is ev.Blame.TURNED_BACK and not met_silence(x, dial, now)):
         # Five seconds by rounds: two or three waste dials on groups still full, eight misses freed circuits.
         office.no_way_on[dialogue.destination] = now + 5 * SECOND
         office.way_on.discard(dialogue.destination)
@@ -405,6 +405,12 @@
     )
 
 
+def met_silence(x: Exchange, dial: Dial, now: int) -> bool:
+    """Whether a tandem turned back only after it had waited in vain (exception), while it leads others on: an
+    answer beyond it was lost, and its next group is not full. Full groups turn back in the usual delay."""
+    return now - dial.sent > max(4 * x.usual_delay, x.bound_delay) and answers_others(x, dial)
+
+
 def lines_busy(called: CalledNumber, now: int) -> None:
     """Many callers of one number (exception): while its lines are busy, set-ups to it are pushed back unsent,
     for a pause that doubles with each busy answer and ends with the first dialogue that stands. From half a
