The door lets go of who is quiet longest, and reads what came before it closes

At fault: Door.opened took the longest open connection without an open set-up, a usual caller's that was in use, and reset it: an answer just written or a set-up not yet read went with it.

Now: silent ones of over 0.2 s first, then the one quiet longest, at least 0.5 s, closed a turn later and only if nothing came; SIGTERM is served on for 3 s.

--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -12,6 +12,11 @@
 from wellhitch.net.seam import Listener, Network
 from wellhitch.sip import codec as sip
 
+QUIET_S = (
+    0.5  # without a message before a connection may be let go for want of descriptors: callers read their
+)
+# answers in milliseconds, and one in use is not let go
+NEW_S = 0.2  # that a connection is given for its first message before it counts as silent: it comes with the connection
 SWEEP_S = 0.25  # between looks at connections that are overdue: an eighth of the shortest limit
 SILENT_S = 2.0  # that a connection may stay without a whole message: a refusal or a close is due within three
 IDLE_S = 6.0  # that a connection may stay on which nothing is open or stands: usual callers close theirs after four
@@ -46,7 +51,6 @@
         "decoder",
         "since",
         "half_since",
-        "spoke",
         "closing_since",
         "__weakref__",
     )
@@ -57,7 +61,6 @@
         self.decoder = sip.Decoder()
         self.since = 0.0
         self.half_since: float | None = None
-        self.spoke = False
         self.closing_since: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,9 +84,9 @@
             self.door.counts[f"door.{bad.limit}"] += 1
             self._refuse_and_close(bad)
             return
-        self._take(messages)
         if messages:
-            self.since = self.door.loop.time()
+            self.door.heard(self)
+        self._take(messages)
         if not self.decoder.pending:
             self.half_since = None
         elif self.half_since is None or messages:
@@ -93,7 +96,6 @@
         for message in messages:
             if self.closing_since is not None:
                 return
-            self.spoke = True
             if (
                 isinstance(message, sip.Request)
                 and message.method == "INVITE"
@@ -127,6 +129,7 @@
         """Close once what was written is out."""
         if self.closing_since is None:
             self.closing_since = self.door.loop.time()
+            self.door.closes(self)
             if self.transport is not None:
                 self.transport.close()
 
@@ -147,7 +150,9 @@
     ) -> None:
         self.loop, self.network, self.hears, self.most, self.counts = loop, network, hears, most, counts
         self.buffer = memoryview(bytearray(READ_BYTES))
-        self.links: dict[CallerLink, None] = {}  # the longest open first
+        self.mute: dict[CallerLink, None] = {}  # without a whole message so far; the longest open first
+        self.spoken: dict[CallerLink, None] = {}  # the longest quiet first
+        self.closing: dict[CallerLink, None] = {}
         self.listener: Listener | None = None
         self._sweeping: Any = None
 
@@ -162,45 +167,95 @@
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
     def opened(self, link: CallerLink) -> None:
-        """A connection is there. Guards the descriptors: where there are too many, one that has said nothing yet goes,
-        else one on which nothing is open and nothing stands, else one on which nothing is open, else the new one."""
-        self.links[link] = None
-        if len(self.links) <= self.most:
+        """A connection is there. Guards the descriptors: where there are too many, one that has been silent for a while
+        goes, else the one quiet longest of those on which nothing is open, with no call standing first, else the first
+        of the new ones: nothing was sent on it yet."""
+        self.mute[link] = None
+        if len(self.mute) + len(self.spoken) <= self.most:
             return
         self.counts["door.full"] += 1
-        gone = next((one for one in self.links if not one.spoke and one is not link), None)
-        if gone is None:
-            idle = [one for one in self.links if one is not link and not self.hears.open_on(one)]
-            gone = next((one for one in idle if not self.hears.standing_on(one)), idle[0] if idle else link)
-        self._abort(gone)
+        gone = next(iter(self.mute))
+        if link.since - gone.since < NEW_S:
+            gone = self._quiet() or gone
+        if gone in self.spoken:
+            # Not at once: what it has sent meanwhile is read first. A connection on which an answer had just been
+            # written was reset here, and the answer lost.
+            del self.spoken[gone]
+            self.loop.call_soon(self._let_go, gone)
+        else:
+            self._abort(gone)
+
+    def _quiet(self) -> CallerLink | None:
+        """A connection on which nothing has come for a while and nothing is open."""
+        now, second = self.loop.time(), None
+        for link in self.spoken:
+            if now - link.since < QUIET_S:
+                break
+            if not self.hears.open_on(link):
+                if not self.hears.standing_on(link):
+                    return link
+                second = second or link
+        return second
+
+    def _let_go(self, link: CallerLink) -> None:
+        if link.closing_since is not None:
+            return
+        if self.loop.time() - link.since < QUIET_S or self.hears.open_on(link):
+            self.spoken[link] = None  # it spoke meanwhile
+        else:
+            link.close()
+
+    def heard(self, link: CallerLink) -> None:
+        """A whole message came: it is the last to go of those that may."""
+        link.since = self.loop.time()
+        self.mute.pop(link, None)
+        self.spoken.pop(link, None)
+        if link.closing_since is None:
+            self.spoken[link] = None
 
     def _abort(self, link: CallerLink) -> None:
         # It counts no more from here on: asyncio tells that it is lost only in the next turn, and in one turn a burst
         # brings hundreds, each of which must put another one out.
-        self.links.pop(link, None)
+        self._forget(link)
         link.closing_since = link.closing_since or self.loop.time()
         if link.transport is not None:
             link.transport.abort()
 
+    def _forget(self, link: CallerLink) -> None:
+        self.mute.pop(link, None)
+        self.spoken.pop(link, None)
+        self.closing.pop(link, None)
+
     def lost(self, link: CallerLink) -> None:
         """A connection is gone."""
-        self.links.pop(link, None)
+        self._forget(link)
         self.hears.caller_closed(link)
 
+    def closes(self, link: CallerLink) -> None:
+        """A connection closes once what was written is out."""
+        self._forget(link)
+        self.closing[link] = None
+
+    @property
+    def open(self) -> int:
+        """Connections that are open."""
+        return len(self.mute) + len(self.spoken) + len(self.closing)
+
     def _sweep(self) -> None:
         now = self.loop.time()
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
-        for link in list(self.links):
-            if link.closing_since is not None:
-                if now - link.closing_since > HALF_S:
-                    self._abort(link)
-            elif link.half_since is not None and now - link.half_since > HALF_S:
+        for link in list(self.closing):
+            if link.closing_since is not None and now - link.closing_since > HALF_S:
+                self._abort(link)
+        for link in [*self.mute, *self.spoken]:
+            if link.half_since is not None and now - link.half_since > HALF_S:
                 self.counts["door.half"] += 1
                 link.write(sip.response(408, ""))
                 link.close()
-            elif not link.spoke and now - link.since > SILENT_S:
-                self.counts["door.silent"] += 1
-                link.close()
+            elif link in self.mute:
+                if now - link.since > SILENT_S:
+                    self.counts["door.silent"] += 1
+                    link.close()
             elif (
                 now - link.since > IDLE_S
                 and not self.hears.open_on(link)
@@ -220,5 +275,5 @@
         self.stop_listening()
         if self._sweeping is not None:
             self._sweeping.cancel()
-        for link in list(self.links):
+        for link in [*self.mute, *self.spoken]:
             link.close()
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -17,8 +17,10 @@
 from wellhitch.sip.codec import Message
 
 WORD_BYTES = 256  # of a datagram: a longer one is against the platform's rules
-STOP_LISTENING_S = 0.8  # after SIGTERM new connections and requests keep coming for up to 0.7
-STOP_LEAST_S = 1.0  # before the process ends, for what came at the very last
+STOP_LISTENING_S = (
+    2.9  # after SIGTERM: callers come for up to 0.7, neighbours send calls through as long as it runs
+)
+STOP_LEAST_S = 3.0  # before the process ends, for what came at the very last
 STOP_MOST_S = 3.4  # SIGKILL comes no sooner than 3.7 s after; what is owed then is answered before
 STOP_LOOK_S = 0.02  # between looks at what is still owed
 STATUS_S = 5.0  # between lines of the log on how things stand
@@ -141,7 +143,7 @@
             "owed": core.owed,
             "held": len(core.exchange.dialogues),
             "standing": len(core.calls),
-            "callers": len(self.door.links),
+            "callers": self.door.open,
             "releases": len(core.releases),
             "releases_again": core.releases.again,
             "releases_dropped": core.releases.dropped,
