No caller tells a group's state; an office that drains unread or resets at once is guarded

Found by reading: Core took NOTIFY with headers of its own making from any caller, who could then have shut groups; what lay in a link's write buffer when its office drained could still reach it later (rule 3), its link is reset now; an office that resets each link at once was tried again without a pause. The emulator let bytes written at once arrive before the near end was up, so that tests did not see the offices' first gauges; mended.

--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -325,9 +325,10 @@
             near = Pipe(self.net, self.host, there, factory())
             near.other, far.other = far, near
             self.net.pipes[far] = self.net.pipes[near] = None
+            # Before the far end hears of the link: what it writes at once must not arrive before the near end is up.
+            near.last_due = far.last_due = self.net.loop.time() + way
             if not self.net.held_up(there, far.protocol.connection_made, far):
                 far.protocol.connection_made(far)
-            near.last_due = far.last_due = self.net.loop.time() + way
             self.net.loop.call_later(way, opened, near)
 
         def opened(near: Pipe) -> None:
--- a/wellhitch/office_lines/codec.py
+++ b/wellhitch/office_lines/codec.py
@@ -73,11 +73,6 @@
     return _encode({"t": "down", "ref": ref, "f": {}, "c": cause}) + b"\n"
 
 
-def ack(ref: str) -> bytes:
-    """A release heard."""
-    return _encode({"t": "ack", "ref": ref, "f": {}}) + b"\n"
-
-
 def figures(load: object) -> dict[str, float]:
     """A load report, `name:figure` parted by semicolons; what is no figure is skipped."""
     out: dict[str, float] = {}
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -76,6 +76,9 @@
     def keep_links(self, end: OfficeEnd) -> None:
         """Keep links to an office up."""
 
+    def unsent_stays(self, end: OfficeEnd) -> None:
+        """Nothing that still waits in a link's buffer may reach the office: a link that holds some is reset."""
+
     def drop_links(self, end: OfficeEnd, now: bool) -> None:
         """Let an office's links go: at once, or when nothing is out on them."""
 
@@ -167,7 +170,7 @@
             case "OPTIONS":
                 self.outlet.to_caller(link, sip.response(200, sip.echo(message)))
             case "NOTIFY":
-                self._group_state(message, now)
+                pass  # a group's state is an office's to tell, on its own link; it wants no answer
             case _:
                 self.counts["door.method"] += 1
                 self.outlet.to_caller(link, sip.response(501, sip.echo(message)))
@@ -531,13 +534,6 @@
             self._ended(call.dialogue, call.dial, call.office.id, ending, ev.Blame.NONE, report, now, True)
         self._let_go(call.office)
 
-    def _group_state(self, message: sip.Request, now: int) -> None:
-        """NOTIFY with a group's state; it wants no answer."""
-        end = self.offices.get(message.headers.get("x-office", ""))
-        if end is not None:
-            report = read_report(lines.figures(message.headers.get("x-load", "")))
-            self.feed(ev.Reported(end.id, False, True, report), now)
-
     def office_refuses(self, end: OfficeEnd) -> None:
         """No link to an office is up and it refuses new ones: unless that passes soon, its process has died."""
         if end.calls:
@@ -609,6 +605,7 @@
         if end.standing is ev.Standing.READY:
             self.outlet.keep_links(end)
             return
+        self.outlet.unsent_stays(end)  # guards rule 3, against an office that does not read
         for dial in list(end.dials.values()):
             if dial.link is None:
                 # Guards rule 3: a set-up that waits here for a link to an office that drains is taken back.
--- a/wellhitch/platform/offices.py
+++ b/wellhitch/platform/offices.py
@@ -41,7 +41,7 @@
 class OfficeLink(asyncio.BufferedProtocol):
     """One link to an office."""
 
-    __slots__ = ("pool", "transport", "decoder", "dials", "partial", "__weakref__")
+    __slots__ = ("pool", "transport", "decoder", "dials", "partial", "since", "__weakref__")
 
     def __init__(self, pool: "Pool") -> None:
         self.pool = pool
@@ -49,6 +49,7 @@
         self.decoder = lines.Decoder()
         self.dials: dict[DialOut, None] = {}
         self.partial: Any = None
+        self.since = 0.0  # s, when it came up
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -192,6 +193,7 @@
             link.transport = None
             return
         self.up[link] = None
+        link.since = self.links.loop.time()
         self._pause = AGAIN_S
         self.links.hears.office_reached(self.end)
         assert link.transport is not None
@@ -232,7 +234,18 @@
         for dial in dials:
             self.links.hears.dial_lost(dial, True)
         if was_up and not self.up and not self.opening and (self.kept or self.end.calls):
-            self._open()
+            if self.links.loop.time() - link.since < AGAIN_S:
+                self._later()  # guards against an office that resets each link at once: a dial still opens one
+            else:
+                self._open()
+
+    def unsent_stays(self) -> None:
+        """Reset the links in whose buffers something waits."""
+        for link in list(self.up):
+            if link.transport is not None and link.transport.get_write_buffer_size():
+                self.links.counts["office.unsent_at_drain"] += 1
+                link.transport.abort()
+                link._gone()
 
     def drop(self, now: bool) -> None:
         """Let the links go: at once, or those on which nothing is out."""
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -181,6 +181,12 @@
         """As `core.Outlet`."""
         self.links.pool(end).keep()
 
+    def unsent_stays(self, end: OfficeEnd) -> None:
+        """As `core.Outlet`."""
+        pool = self.links.pools.get(end)
+        if pool is not None:
+            pool.unsent_stays()
+
     def drop_links(self, end: OfficeEnd, now: bool) -> None:
         """As `core.Outlet`."""
         self.links.drop(end, now)
--- a/wellhitch/stand_ins/platform.py
+++ b/wellhitch/stand_ins/platform.py
@@ -131,7 +131,7 @@
     ends: list[_End] = field(default_factory=list)
     by_ref: dict[str, _End] = field(default_factory=dict)
     opened: int = 0
-    resets: bool = False  # trouble: each link is reset as soon as it is up
+    resets: bool = False  # trouble: each link is reset when it has just come up
     listener: Listener | None = None
     _decoders: dict[_End, lines.Decoder] = field(default_factory=dict)
 
@@ -153,7 +153,7 @@
     def _up(self, end: _End) -> None:
         self.opened += 1
         if self.resets and end.transport is not None:
-            end.transport.abort()
+            self.loop.call_later(0.005, end.transport.abort)
             return
         self.ends.append(end)
         self._decoders[end] = lines.Decoder()
