--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,17 +1,19 @@
 """The platform's call server against stand-ins, in virtual time: the hard cases of its protocol."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 from platform_world import DRAINING, GONE, READY, SECOND, UNIX, World, invite, row
+from platform_world import told as settings
 
 from wellhitch.board import codec as board_codec
 from wellhitch.board.codec import Notice
 from wellhitch.deciding import runner as runner_module
 from wellhitch.interface import events as ev
 from wellhitch.platform.service import shares
-from wellhitch.stand_ins.platform import Caller, plain
+from wellhitch.stand_ins.platform import Board, Caller, plain
 
 
 def ref(n: int) -> str:
@@ -107,6 +109,19 @@
     assert caller.statuses(A) == [503]
 
 
+@pytest.mark.parametrize(("heeded", "told"), [(0, None), (2 * SECOND, "95")])
+def test_a_push_back_names_a_time_to_come_back_where_the_settings_allow_it(
+    heeded: int, told: str | None
+) -> None:
+    opened = settings().opened
+    world = World(opened=replace(opened, permissions=replace(opened.permissions, longest_retry_after=heeded)))
+    caller = world.caller()
+    caller.say(invite(A, 0))
+    world.run(0.1)
+    [(_, answer)] = caller.heard
+    assert caller.statuses(A) == [503] and answer.headers.get("x-cooldown") == told
+
+
 def test_time_is_up_at_an_office_that_never_answers() -> None:
     world = World()
     for office in world.offices.values():
@@ -810,10 +825,6 @@
 
 
 def test_a_new_board_is_followed_from_the_last_number_and_nothing_in_flight_is_touched() -> None:
-    from dataclasses import replace
-
-    from wellhitch.stand_ins.platform import Board
-
     world = World()
     caller = world.standing(A)
     world.board.tell(row(2, READY))
