Accepted connections send small writes at once: Nagle's algorithm is off again

Cause: since the listening socket is made by `socket.create_server`, whose protocol is 0. asyncio sets TCP_NODELAY only on sockets of the protocol TCP, and an accepted socket has its listener's. So each accepted connection, of both call servers and of the stand-ins, held a small write back until the other end's delayed acknowledgement.

Why it works: the listener names its protocol, and asyncio does the rest, as before.

Measured: tests/test_seam.py::test_small_writes_leave_at_once_at_both_ends_of_a_connection failed before and passes.

--- a/tests/test_seam.py
+++ b/tests/test_seam.py
@@ -57,6 +57,36 @@
     assert isinstance(said["exception"], OSError) and "listen" in str(said["message"])
 
 
+def test_small_writes_leave_at_once_at_both_ends_of_a_connection() -> None:
+    # Guards against Nagle's algorithm: it held answers back until the other end's delayed acknowledgement.
+    class End(asyncio.BufferedProtocol):
+        def __init__(self, came_up: asyncio.Future[asyncio.BaseTransport]) -> None:
+            self.came_up = came_up
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            self.came_up.set_result(transport)
+
+    async def nodelay(host: str) -> list[int]:
+        loop = asyncio.get_running_loop()
+        network, listener = LoopbackNetwork(loop), loop.create_future()
+        ends = [loop.create_future(), loop.create_future()]
+        network.listen(f"{host}:0", lambda: End(ends[0]), listener.set_result)
+        address = (await asyncio.wait_for(listener, 30)).address
+        network.connect(address, lambda: End(ends[1]), lambda failure: ends[1].cancel())
+        transports = await asyncio.wait_for(asyncio.gather(*ends), 30)
+        options = [
+            transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            for transport in transports
+        ]
+        for transport in transports:
+            transport.abort()
+        listener.result().close()
+        return options
+
+    for host in ("127.0.0.1", "::1"):
+        assert all(asyncio.run(nodelay(host)))
+
+
 def test_datagrams_go_both_ways_on_the_real_loop() -> None:
     # asyncio's own transport for them is no asyncio.DatagramTransport in Python 3.11: an assertion of it failed on the
     # platform alone.
--- a/wellhitch/net/seam.py
+++ b/wellhitch/net/seam.py
@@ -156,8 +156,7 @@
             try:
                 # asyncio takes as many links in one turn as may wait, before it tells of one; so it is given the few
                 # that may be taken, and the socket the many that may wait.
-                sock = socket.create_server((host, port), family=_family(host), backlog=self._waiting)
-                sock.setblocking(False)
+                sock = _listening_socket(host, port, self._waiting)
                 server = await self._loop.create_server(factory, sock=sock, backlog=self._at_once)
                 sock.listen(self._waiting)
             except OSError as fault:
@@ -212,8 +211,22 @@
         super().__init__(loop, _loopback, self.CONNECT_TIMEOUT_S)
 
 
-def _family(host: str) -> socket.AddressFamily:
-    return socket.AF_INET6 if ":" in host else socket.AF_INET
+def _listening_socket(host: str, port: int, waiting: int) -> socket.socket:
+    """A non-blocking socket that listens. Its protocol is named: asyncio turns Nagle's algorithm off only on sockets of
+    the protocol TCP, and accepted ones have that of their listener."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        sock.bind((host, port))
+        sock.listen(waiting)
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 def _loopback(host: str) -> None:
