Trials: a crowd at a call server's return; each call that is named has a line in the log

Change: `call_named` in the log; trials record the connection on which a call is named; the act `crowd_at_return` starts a crowd as a call server is ready, up to 30 ms before calls are named. A client whose naming found no connection, or one that had ended, named that call and all after it to nobody, and the judge took them for named: it tries again now, 50 ms later, 20 times at most. No draw of a plan changes: the act belongs to no kind.

--- a/wellhitch/lab/trials/client.py
+++ b/wellhitch/lab/trials/client.py
@@ -14,6 +14,8 @@
 CROSSING_S = 0.05  # a set-up that crosses a close by no more is sent once more on a new connection
 MOST_CONNECTIONS = 8
 PIECE_GAP_S = 0.005
+NAMING_TRIES = 20
+NAMING_AGAIN_S = 0.05
 CROSSED = "crossed"
 NOTHING_SENT = "nothing had been sent on it"
 
@@ -257,13 +259,20 @@
 
     async def _retell(self) -> None:
         for call, endpoint in list(self.standing.items()):
+            await self._name(call, endpoint)
+
+    async def _name(self, call: str, endpoint: str) -> None:
+        """Name one call that is up; where no connection takes the message, again a little later."""
+        message = invite(call, self.destinations[0], sorted(self.classes)[0], 1000, f";at:{endpoint}")
+        for _ in range(NAMING_TRIES):
             line = await self._line()
-            if line is None:
+            if call not in self.standing:
                 return
-            message = invite(call, self.destinations[0], sorted(self.classes)[0], 1000, f";at:{endpoint}")
-            if call in self.standing and line.write(message):
+            if line is not None and line.write(message):
                 line.established.add(call)
-                self._note(Seen.RETOLD, call)
+                self._note(Seen.RETOLD, call, detail=line.connection.local_address)
+                return
+            await asyncio.sleep(NAMING_AGAIN_S)
 
     def _note(self, seen: Seen, call: str, status: int = 0, detail: str = "") -> None:
         self.records.add(Record(self.loop.time(), seen, call, self.server, status=status, detail=detail))
--- a/wellhitch/lab/trials/fleet.py
+++ b/wellhitch/lab/trials/fleet.py
@@ -28,6 +28,7 @@
 LAG_STEP_S = 0.02  # between looks at the loop's own lateness
 LAG_NOTED_S = 0.01
 BURST = 60  # set-ups at once beside a crowd
+CROWD_BEFORE_NAMING_S = 0.03  # at most, between a crowd's first connection and the first call that is named
 
 
 def settings_of(plan: TrialPlan, cell: int) -> dict[str, Any]:
@@ -81,6 +82,7 @@
     def __post_init__(self) -> None:
         self.chance = random.Random(self.plan.seed ^ 0x5EED)
         self.ready: set[str] = set()
+        self.crowd_at_return = 0
 
     async def play(self) -> None:
         """Start everything, let the steps happen, and wait until what is over has been told."""
@@ -196,6 +198,7 @@
                 self.records.add(Record(self.loop.time(), Seen.SERVER_READY, server=server.name))
                 self.ready.add(server.name)
                 clients.stops_new_connections = False
+                await self._crowd_at_return(clients)
                 clients.retell()
             while server.running:
                 await asyncio.sleep(0.02)
@@ -322,6 +325,8 @@
                 discovery.break_in_mid_event()
             case Act.MOVE_DISCOVERY:
                 self._move_discovery()
+            case Act.CROWD_AT_RETURN:
+                self.crowd_at_return = step.target
 
     def _list(self, endpoint: Endpoint, state: EndpointState) -> None:
         if self.states[endpoint.id] is not EndpointState.REMOVED:
@@ -344,9 +349,19 @@
 
     # ---- crowds ----
 
+    async def _crowd_at_return(self, clients: Clients) -> None:
+        """Begin the crowd that waits for a call server to be ready, and go on while it comes up."""
+        connections, self.crowd_at_return = self.crowd_at_return, 0
+        if connections:
+            self.loop.create_task(self._crowd_of(clients, connections))
+            await asyncio.sleep(self.chance.uniform(0.0, CROWD_BEFORE_NAMING_S))
+
     async def _crowd(self, connections: int) -> None:
+        """A crowd at one of the call servers."""
+        await self._crowd_of(self.chance.choice(self.clients), connections)
+
+    async def _crowd_of(self, clients: Clients, connections: int) -> None:
         """Hundreds of connections that say little, and a burst of set-ups."""
-        clients = self.chance.choice(self.clients)
         opened = await asyncio.gather(
             *(open_connection(self.loop, clients.address) for _ in range(connections))
         )
--- a/wellhitch/lab/trials/plan.py
+++ b/wellhitch/lab/trials/plan.py
@@ -60,6 +60,9 @@
     MOVE_DISCOVERY = auto()  # a new configuration and SIGHUP for every call server
     BAD_CLIENTS = auto()  # target: how many
     CROWD = auto()  # target: how many
+    CROWD_AT_RETURN = (
+        auto()
+    )  # target: how many; when the next call server is ready, just before calls are named to it
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/wellhitch/lab/trials/sockets.py
+++ b/wellhitch/lab/trials/sockets.py
@@ -30,6 +30,11 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    @property
+    def local_address(self) -> str:
+        """This end's address as the other end's log shows it; empty once the connection has ended."""
+        return "" if self.ended else str(self.sock.getsockname())
+
     def start(self) -> None:
         """Begin to read."""
         if not self.frozen:
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -69,10 +69,13 @@
             return
         self._counts["stands_told"] += 1
         released = self._released_unknown.pop(ref, None)
+        end = self._endpoints.get(endpoint)
+        self._outlet.log(
+            "call_named", call=ref, endpoint=endpoint, listed=end is not None, released=released is not None
+        )
         if released is not None:
             self.tell_over(ref, released[0], caller, now)
             return
-        end = self._endpoints.get(endpoint)
         if end is None:  # gone while this call server was away, and its calls with it
             self.tell_over(ref, CAUSE_CUT, caller, now)
             return
