A new connection is read before any is put out; at the descriptors' limit more of them wait

Their clients had named them to the new process in the midst of a crowd.

Cause: `Door.opened` chose whom to put out in the turn in which a connection came up, and what came with it is read a turn later. A connection that had spoken within 0.5 s was never chosen; while a crowd had just spoken, the only one left to choose was the new one, and it was reset with the naming unread. What came on a connection being closed was read, but a naming there was dropped.

Excluded: named and then lost (no call with a line `call_named` was told late), dropped log lines (none).

Change: `eviction.py`, pure, says whose end costs least. A new connection has 20 ms to say what it wants; meanwhile a sixteenth of the descriptors is room for such ones, and with that taken the listener pauses (`Listener.pause`, also emulated): connections wait in the kernel with their bytes. Whoever is put out is half-closed and read for 10 ms at least, and namings count there. No existing test changed.

--- a/tests/test_seam.py
+++ b/tests/test_seam.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 import pytest
 
-from wellhitch.net.seam import LoopbackNetwork, Sender, is_loopback, only_numeric, split
+from wellhitch.emulator.loop import VirtualLoop
+from wellhitch.emulator.network import EmulatedNetwork
+from wellhitch.net.seam import Listener, LoopbackNetwork, Network, Sender, is_loopback, only_numeric, split
 
 
 @pytest.mark.parametrize("host", ["localhost", "::1", "127.0.0.1", "127.8.9.10"])
@@ -87,6 +90,49 @@
         assert all(asyncio.run(nodelay(host)))
 
 
+class Reader(asyncio.BufferedProtocol):
+    """Keeps what it reads; `greeting` is written as soon as the connection is up."""
+
+    def __init__(self, read: bytearray, greeting: bytes = b"") -> None:
+        self.read, self.greeting, self.buffer = read, greeting, bytearray(100)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(self.greeting)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.read += self.buffer[:nbytes]
+
+
+def paused_listener(network: Network, address: str, advance: Callable[[], None]) -> None:
+    read, listeners = bytearray(), list[Listener]()
+    network.listen(address, lambda: Reader(read), listeners.append)
+    advance()
+    [listener] = listeners
+    listener.pause()
+    network.connect(listener.address, lambda: Reader(bytearray(), b"hello"), lambda failure: None)
+    advance()
+    assert not read
+    listener.resume()
+    advance()
+    assert read == b"hello"
+    listener.close()
+
+
+def test_what_waits_at_a_paused_listener_is_read_once_it_goes_on() -> None:
+    loop = asyncio.new_event_loop()
+    paused_listener(LoopbackNetwork(loop), "127.0.0.1:0", lambda: loop.run_until_complete(asyncio.sleep(0.1)))
+    loop.close()
+
+
+def test_an_emulated_listener_pauses_as_a_real_one() -> None:
+    loop = VirtualLoop()
+    paused_listener(EmulatedNetwork(loop, 1).at("here"), "here:0", lambda: loop.advance(0.1))
+
+
 def test_datagrams_go_both_ways_on_the_real_loop() -> None:
     # asyncio's own transport for them is no asyncio.DatagramTransport in Python 3.11: an assertion of it failed on the
     # platform alone.
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -43,6 +43,16 @@
     assert outcome.verdict.passed, outcome.report()
 
 
+@pytest.mark.parametrize("crowd", [86, 300])
+def test_calls_that_are_named_into_a_crowd_after_a_restart_are_known(crowd: int, tmp_path: Path) -> None:
+    # Guards against the limit of descriptors: it put naming connections out unread, and nobody was told of ends.
+    steps = (TrialStep(5.9, Act.CROWD_AT_RETURN, crowd), TrialStep(6.0, Act.KILL, 0))
+    plan = TrialPlan(crowd, (Kind.KILL, Kind.CROWD), 1, 3, (1.3, 3.0), 25.0, 6.0, True, 160, 8.0, steps)
+    outcome = play_plan(plan, tmp_path)
+    assert outcome.verdict.counts["established"] > 100
+    assert outcome.verdict.passed, outcome.report()
+
+
 # A short soak: clients use open connections until the kill at the operators' earliest, signals come in series, and two
 # of them have a crowd. Seeds that failed once are among them (docs/incidents/dc97cf.md).
 SOAK: dict[int, tuple[Kind, ...] | None] = {
--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -184,6 +184,17 @@
     net: "EmulatedNetwork"
     address: str
     factory: Factory
+    paused: bool = False
+    waiting: list[Callable[[], None]] = field(default_factory=list)
+
+    def pause(self) -> None:
+        self.paused = True
+
+    def resume(self) -> None:
+        self.paused = False
+        waiting, self.waiting = self.waiting, []
+        for reach in waiting:
+            self.net.loop.call_soon(reach)
 
     def close(self) -> None:
         self.net.listeners.pop(self.address, None)
@@ -348,6 +359,9 @@
             if self.net.weather(self.host, there).swallowed:
                 self.net.loop.call_later(self.net.CONNECT_TIMEOUT_S, failed, ConnectFailure("timed out"))
                 return
+            if listening.paused:
+                listening.waiting.append(reach)
+                return
             far = Pipe(self.net, there, self.host, listening.factory())
             near = Pipe(self.net, self.host, there, factory())
             near.other, far.other = far, near
--- a/wellhitch/net/seam.py
+++ b/wellhitch/net/seam.py
@@ -1,6 +1,7 @@
 """Transports are opened through `Network` and nothing else; time is the running loop's, in whole microseconds."""
 
 import asyncio
+import contextlib
 import ipaddress
 import socket
 from collections.abc import Callable
@@ -12,6 +13,9 @@
 """Takes a datagram and the address it came from."""
 
 
+ACCEPT_RETRY_S = 1.0  # after accepting a connection failed for want of descriptors or memory
+
+
 def now_us(loop: asyncio.AbstractEventLoop) -> int:
     """The loop's clock in whole microseconds: the one place where it is turned."""
     return round(loop.time() * 1_000_000)
@@ -37,6 +41,12 @@
 
     address: str
 
+    def pause(self) -> None:
+        """Let new links wait, with what is sent on them, until `resume`."""
+
+    def resume(self) -> None:
+        """Take links again."""
+
     def close(self) -> None:
         """Take no more links."""
 
@@ -84,12 +94,56 @@
 
 
 class _Listening:
-    def __init__(self, server: asyncio.Server, host: str) -> None:
-        self._server = server
-        self.address = f"{host}:{server.sockets[0].getsockname()[1]}"
+    """Accepts connections a few a turn of the loop, and hands each to a protocol of its own."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        host: str,
+        at_once: int,
+        accepted: Callable[[socket.socket], None],
+    ) -> None:
+        self._loop, self._sock, self._at_once, self._accepted = loop, sock, at_once, accepted
+        self._paused = True
+        self._closed = False
+        self.address = f"{host}:{sock.getsockname()[1]}"
+        self.resume()
+
+    def pause(self) -> None:
+        if not self._paused and not self._closed:
+            self._paused = True
+            self._loop.remove_reader(self._sock.fileno())
+
+    def resume(self) -> None:
+        if self._paused and not self._closed:
+            self._paused = False
+            self._loop.add_reader(self._sock.fileno(), self._acceptable)
 
     def close(self) -> None:
-        self._server.close()
+        self.pause()
+        self._closed = True
+        self._sock.close()
+
+    def _acceptable(self) -> None:
+        for _ in range(self._at_once):
+            if self._paused:  # by what came of the one before
+                return
+            try:
+                connection, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                self._out_of_resources(fault)
+                return
+            connection.setblocking(False)
+            self._accepted(connection)
+
+    def _out_of_resources(self, fault: OSError) -> None:
+        """No descriptor or no memory is left: the connection would be ready to be accepted at once again."""
+        self._loop.call_exception_handler({"message": "cannot accept a connection", "exception": fault})
+        self.pause()
+        self._loop.call_later(ACCEPT_RETRY_S, self.resume)
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -152,19 +206,19 @@
         """As `Network.listen`; where it cannot listen the loop's exception handler is told, with the `address`."""
         host, port = self._split(address)
 
-        async def work() -> None:
+        async def serve(connection: socket.socket) -> None:
+            with contextlib.suppress(OSError):  # it was reset while it waited
+                await self._loop.connect_accepted_socket(factory, connection)
+
+        def listen() -> None:
             try:
-                # asyncio takes as many links in one turn as may wait, before it tells of one; so it is given the few
-                # that may be taken, and the socket the many that may wait.
                 sock = _listening_socket(host, port, self._waiting)
-                server = await self._loop.create_server(factory, sock=sock, backlog=self._at_once)
-                sock.listen(self._waiting)
             except OSError as fault:
                 self._unable(address, fault)
                 return
-            ready(_Listening(server, host))
+            ready(_Listening(self._loop, sock, host, self._at_once, lambda made: self._spawn(serve(made))))
 
-        self._spawn(work())
+        self._loop.call_soon(listen)
 
     def datagrams(self, address: str, taken: Taken, ready: Callable[[Sender], None]) -> None:
         """As `Network.datagrams`; where it cannot, as `listen`."""
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -10,15 +10,18 @@
 from typing import Any, Protocol, cast
 
 from wellhitch.net.seam import Listener, Network
+from wellhitch.platform.door import names_call
+from wellhitch.platform.eviction import SILENT_S, ConnectionTable
 from wellhitch.sip import codec as sip
 
-QUIET_S = (
-    0.5  # without a message before a connection may be let go for want of descriptors: callers read their
+READING_TURNS = 2  # of the loop, from a connection's coming up until what came with it has been read
+ROOM_STEP_S = (
+    0.005  # between looks for room while new connections wait: a part of what a new one is given to speak
 )
-# answers in milliseconds, and one in use is not let go
-NEW_S = 0.2  # that a connection is given for its first message before it counts as silent: it comes with the connection
 SWEEP_S = 0.25  # between looks at connections that are overdue: an eighth of the shortest limit
-SILENT_S = 2.0  # that a connection may stay without a whole message: a refusal or a close is due within three
+MOST_SILENT_S = (
+    2.0  # that a connection may stay without a whole message: a refusal or a close is due within three
+)
 IDLE_S = 6.0  # that a connection may stay on which nothing is open or stands: usual callers close theirs after four
 HALF_S = 2.0  # that a message may take from its first byte to its last, for the same reason
 # s that a connection being closed is read to its end: a close with bytes unread resets it, and the other end may lose
@@ -64,6 +67,8 @@
         "half_since",
         "closing_since",
         "discarded",
+        "messages",
+        "peer",
         "unreadable",
         "__weakref__",
     )
@@ -76,11 +81,14 @@
         self.half_since: float | None = None
         self.closing_since: float | None = None
         self.discarded = 0  # bytes that came while it was being closed
+        self.messages = 0  # whole ones that came
+        self.peer = ""  # address of the other end, for the log
         self.unreadable = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.since = self.door.loop.time()
+        self.peer = str(transport.get_extra_info("peername"))
         self.door.opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -101,6 +109,7 @@
             self.door.counts[f"door.{bad.limit}"] += 1
             self._refuse_and_close(bad)
             return
+        self.messages += len(messages)
         if messages:
             self.door.heard(self)
         self._take(messages)
@@ -110,7 +119,8 @@
             self.half_since = self.door.loop.time()
 
     def _read_while_closing(self, nbytes: int) -> None:
-        """What comes after the close: the ends of calls count, a set-up cannot be answered any more."""
+        """What comes after the close: the ends of calls count, and calls that are named, since nothing is answered to
+        that; a set-up cannot be answered any more."""
         self.discarded += nbytes
         if self.discarded > LINGER_BYTES:
             self.door.abort(self)
@@ -122,7 +132,7 @@
             self.unreadable = True
             return
         for message in messages:
-            if isinstance(message, sip.Response) or message.method == "BYE":
+            if isinstance(message, sip.Response) or message.method == "BYE" or names_call(message):
                 self.door.hears.caller_said(self, message)
 
     def _take(self, messages: list[sip.Message]) -> None:
@@ -159,24 +169,20 @@
             transport.abort()
         return True
 
-    def close(self, why: str, linger: bool = True) -> None:
-        """Close once what was written is out and, where it lingers, the other end has closed too. `why` is for the
-        log."""
+    def close(self, why: str) -> None:
+        """Close once what was written is out and the other end has closed too. `why` is for the log."""
         if self.closing_since is not None:
             return
         self.door.closing_for(self, why)
         self.door.hears.caller_closing(self)
         self.closing_since = self.door.loop.time()
-        self.door.closes(self, linger)
+        self.door.table.lingers(self, self.closing_since)
         if self.transport is None:
             return
-        if not linger:
-            self.transport.close()
-        else:
-            try:
-                self.transport.write_eof()
-            except OSError:  # the other end has reset it
-                self.transport.abort()
+        try:
+            self.transport.write_eof()
+        except OSError:  # the other end has reset it
+            self.transport.abort()
 
     def eof_received(self) -> bool:
         return False
@@ -188,18 +194,24 @@
 
 
 class Door:
-    """All connections from callers, at most `most`."""
+    """All connections from callers, at most `most`, and for moments `room` more that have just come up."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, network: Network, hears: Hears, most: int, counts: Counter[str]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        network: Network,
+        hears: Hears,
+        most: int,
+        room: int,
+        counts: Counter[str],
     ) -> None:
-        self.loop, self.network, self.hears, self.most, self.counts = loop, network, hears, most, counts
+        self.loop, self.network, self.hears, self.counts = loop, network, hears, counts
+        self.most, self.room = most, room
         self.buffer = memoryview(bytearray(READ_BYTES))
-        self.mute: dict[CallerLink, None] = {}  # without a whole message so far; the longest open first
-        self.spoken: dict[CallerLink, None] = {}  # the longest quiet first
-        self.closing: dict[CallerLink, None] = {}
+        self.table: ConnectionTable[CallerLink] = ConnectionTable(hears.open_on, hears.standing_on)
         self.listener: Listener | None = None
         self._sweeping: Any = None
+        self._looking_for_room: Any = None
 
     def listen(self, address: str, ready: Callable[[], None]) -> None:
         """Take connections at this address alone."""
@@ -212,111 +224,107 @@
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
     def opened(self, link: CallerLink) -> None:
-        """A connection is there. Guards the descriptors: where there are too many, one that has been silent for a while
-        goes, else the one quiet longest of those on which nothing is open, with no call standing first, else the first
-        of the new ones: nothing was sent on it yet."""
-        self.mute[link] = None
-        if self.open <= self.most:
-            return
-        if self.closing:
-            self.abort(next(iter(self.closing)))
-            return
-        self.counts["door.full"] += 1
-        gone = next(iter(self.mute))
-        if link.since - gone.since < NEW_S:
-            gone = self._quiet() or gone
-        if gone in self.spoken:
-            # Not at once: what it has sent meanwhile is read first. A connection on which an answer had just been
-            # written was reset here, and the answer lost.
-            del self.spoken[gone]
-            self.loop.call_soon(self._let_go, gone)
+        """A connection is there. Guards the descriptors: where there are too many, others are closed, but not before
+        what has come on all of them is read."""
+        self.table.opened(link, self.loop.time())
+        if self._too_many:
+            if self.open > self.most + self.room and self.listener is not None:
+                self.listener.pause()
+            self._after_turns(READING_TURNS, self._make_room)
+
+    def _after_turns(self, turns: int, work: Callable[[], None]) -> None:
+        """Do something some turns of the loop later."""
+        if turns == 0:
+            work()
         else:
-            self.abort(gone)
+            self.loop.call_soon(self._after_turns, turns - 1, work)
+
+    @property
+    def _too_many(self) -> bool:
+        return self.table.in_service > self.most or self.open > self.most + self.room
 
-    def _quiet(self) -> CallerLink | None:
-        """A connection on which nothing has come for a while and nothing is open."""
-        now, second = self.loop.time(), None
-        for link in self.spoken:
-            if now - link.since < QUIET_S:
+    def _make_room(self) -> None:
+        """Close connections where too many are in service, and read them to their end. While there is no room for that,
+        and while it is not known what the new ones want, more of them wait to be taken."""
+        now = self.loop.time()
+        while self.table.in_service > self.most:
+            evicted = self.table.next_to_evict(now)
+            if evicted is None:
                 break
-            if not self.hears.open_on(link):
-                if not self.hears.standing_on(link):
-                    return link
-                second = second or link
-        return second
-
-    def _let_go(self, link: CallerLink) -> None:
-        if link.closing_since is not None:
-            return
-        if self.loop.time() - link.since < QUIET_S or self.hears.open_on(link):
-            self.spoken[link] = None  # it spoke meanwhile
-        else:
-            # Its descriptor is wanted now; on a connection that has been quiet for so long no answer is on its way.
-            link.close("full", linger=False)
+            self.counts["door.full"] += 1
+            evicted.close("full")
+        while self.open > self.most + self.room:
+            closed = self.table.next_to_reset(now)
+            if closed is None:
+                break
+            self.abort(closed)
+        if self.listener is not None:
+            if self.open > self.most + self.room:
+                self.listener.pause()
+            else:
+                self.listener.resume()
+        if self._too_many and self._looking_for_room is None:
+            self._looking_for_room = self.loop.call_later(ROOM_STEP_S, self._look_for_room)
+
+    def _look_for_room(self) -> None:
+        self._looking_for_room = None
+        self._make_room()
 
     def heard(self, link: CallerLink) -> None:
         """A whole message came: it is the last to go of those that may."""
         link.since = self.loop.time()
-        self.mute.pop(link, None)
-        self.spoken.pop(link, None)
         if link.closing_since is None:
-            self.spoken[link] = None
+            self.table.message_came(link, link.since)
 
     def abort(self, link: CallerLink) -> None:
         """Close at once, with a reset."""
         # It counts no more from here on: asyncio tells that it is lost only in the next turn, and in one turn a burst
         # brings hundreds, each of which must put another one out.
-        self._forget(link)
+        self.table.forget(link)
         if link.closing_since is None:
             self.closing_for(link, "full")
         link.closing_since = link.closing_since or self.loop.time()
         if link.transport is not None:
             link.transport.abort()
 
-    def _forget(self, link: CallerLink) -> None:
-        self.mute.pop(link, None)
-        self.spoken.pop(link, None)
-        self.closing.pop(link, None)
-
     def lost(self, link: CallerLink) -> None:
         """A connection is gone."""
-        self._forget(link)
+        self.table.forget(link)
         self.hears.caller_closed(link)
 
-    def closes(self, link: CallerLink, lingers: bool) -> None:
-        """A connection closes once what was written is out. It counts on while it lingers; else it is gone within two
-        turns, and one that counted would be put out a second time in place of another."""
-        self._forget(link)
-        if lingers:
-            self.closing[link] = None
-
     def closing_for(self, link: CallerLink, why: str) -> None:
         """A connection is closed from here: say why, and what is left on it."""
         hears = self.hears
         hears.log(
-            "caller_connection_closed", why=why, open=hears.open_on(link), established=hears.standing_on(link)
+            "caller_connection_closed",
+            why=why,
+            open=hears.open_on(link),
+            established=hears.standing_on(link),
+            peer=link.peer,
+            messages=link.messages,
+            quiet_ms=round((self.loop.time() - link.since) * 1000),
         )
 
     @property
     def open(self) -> int:
         """Connections that are open."""
-        return len(self.mute) + len(self.spoken) + len(self.closing)
+        return len(self.table)
 
     def _sweep(self) -> None:
         now = self.loop.time()
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
-        for link in list(self.closing):
+        for link in list(self.table.closing):
             if link.closing_since is not None and now - link.closing_since > LINGER_S:
                 self.abort(link)
-        for link in [*self.mute, *self.spoken]:
+        for link in [*self.table.silent, *self.table.heard]:
             if link.half_since is not None and now - link.half_since > HALF_S:
                 if self.hears.open_on(link):
                     continue  # a slow writer; what it asked before is answered first
                 self.counts["door.half"] += 1
                 link.write(sip.response(408, ""))
                 link.close("half")
-            elif link in self.mute:
-                if now - link.since > SILENT_S:
+            elif link in self.table.silent:
+                if now - link.since > MOST_SILENT_S:
                     self.counts["door.silent"] += 1
                     link.close("silent")
             elif (
@@ -330,9 +338,9 @@
     def close_unused(self) -> None:
         """While draining: close each connection on which nothing is open, half said, or still to be told."""
         now = self.loop.time()
-        for link in [*self.mute, *self.spoken]:
+        for link in [*self.table.silent, *self.table.heard]:
             half = link.half_since is not None and now - link.half_since < HALF_SAID_S
-            new = link in self.mute and now - link.since < NEW_S
+            new = link in self.table.silent and now - link.since < SILENT_S
             if not (half or new or self.hears.open_on(link) or self.hears.standing_on(link)):
                 link.close("draining")
 
@@ -345,12 +353,13 @@
     def close(self) -> None:
         """Close all."""
         self.stop_listening()
-        for link in [*self.mute, *self.spoken]:
+        for link in [*self.table.silent, *self.table.heard]:
             link.close("stopping")
 
     def abort_all(self) -> None:
         """Leave nothing open."""
-        if self._sweeping is not None:
-            self._sweeping.cancel()
-        for link in [*self.mute, *self.spoken, *self.closing]:
+        for timer in (self._sweeping, self._looking_for_room):
+            if timer is not None:
+                timer.cancel()
+        for link in [*self.table.silent, *self.table.heard, *self.table.closing]:
             self.abort(link)
--- a/wellhitch/platform/door.py
+++ b/wellhitch/platform/door.py
@@ -52,6 +52,11 @@
     return bool(_CSEQ.fullmatch(told)) and told.endswith(f" {request.method}")
 
 
+def names_call(request: Request) -> bool:
+    """Whether it names a call that is up already, to which no answer is expected."""
+    return request.method == "INVITE" and "at" in (_attributes(request.headers.get("x-attrs", "")) or ())
+
+
 def read_set_up(request: Request, use_cases: Mapping[str, object]) -> SetUp | str:
     """The set-up, or the name of what is wrong with it."""
     headers = request.headers
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -32,19 +32,26 @@
 # Connections that may wait to be taken: one of a burst that finds no place is tried again after a second, and what was
 # sent on it waits as long. They take no descriptor yet.
 WAITING = 1024
-# Turns of the loop from taking a connection to the close of the one that it puts out: accept, task, made, let go, lost,
-# close; and two to spare, since a limit on descriptors that is met once stops the taking of connections for a second.
-TURNS = 8
-TAKEN_A_TURN = 32  # of the descriptors, one in so many may be taken in one turn of the loop
+# Turns of the loop from taking a connection until no more are taken, or one that it puts out is closed: accept, task,
+# made, two to read, choose, lost; and three to spare, since a limit on descriptors that is met once stops the taking of
+# connections for a second.
+TURNS = 10
+TAKEN_A_TURN = 40  # of the descriptors, one in so many may be taken in one turn of the loop
 MOST_TAKEN_A_TURN = 32
+NEW_SHARE = 16  # of the descriptors, one in so many is for connections that have just come up
 
 
 def shares(sockets: int) -> tuple[int, int, int]:
     """Of so many descriptors: those for callers, those for links to offices, and how many connections are taken in one
-    turn of the loop. An eighth for offices, at most a quarter for what is taken before it is counted or closed after.
-    Callers of the platform hold no more than a third, and get what is left."""
+    turn of the loop. An eighth for offices, at most a quarter for what is taken before it is counted or closed after,
+    and the room for new ones. Callers of the platform hold no more than a third, and get what is left."""
     offices, at_once = sockets // 8, min(MOST_TAKEN_A_TURN, max(1, sockets // TAKEN_A_TURN))
-    return sockets - offices - TURNS * at_once - SPARE, offices, at_once
+    return sockets - offices - TURNS * at_once - room_for_new(sockets) - SPARE, offices, at_once
+
+
+def room_for_new(sockets: int) -> int:
+    """How many more connections from callers there may be for the moment in which a new one says its first message."""
+    return sockets // NEW_SHARE
 
 
 class Service:
@@ -63,7 +70,7 @@
         for_callers, for_offices, _ = shares(told.sockets)
         self.core = Core(told.opened, told.max_open, unix_now() - now_us(loop), self)
         self.counts: Counter[str] = self.core.counts
-        self.door = Door(loop, network, self, for_callers, self.counts)
+        self.door = Door(loop, network, self, for_callers, room_for_new(told.sockets), self.counts)
         self.links = OfficeLinks(loop, network, self, told.connect_within / 1e6, for_offices, self.counts)
         self.discovery = DiscoveryClient(
             loop, network, told.place.board, told.number, self._told, log, self.counts
