Callers' connections in the field's names; constants with units, reasons above them

Need: `Door`, `CallerLink`, `Hears`, `most`, `half` need explaining, and the formatter had wrapped reasons into brackets around numbers.

Change: names and comments alone, in callers.py, core.py, door.py and service.py: CallerConnections, CallerConnection, CallerEvents, message_received, connection_closing, connection_closed, set_ups_on, calls_on; counters and log events keep their names.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -702,7 +702,7 @@
     usual = world.standing(A)
     silent = [world.caller(f"10.9.8.{n % 250}") for n in range(400)]
     world.run(0.5)
-    assert world.service.door.open <= most and not usual.closed
+    assert world.service.callers.open <= most and not usual.closed
     world.run(3)
     assert all(one.closed for one in silent) and world.counts["door.full"] > 0
     world.standing(ref(2), usual)
@@ -717,7 +717,7 @@
     for n, one in enumerate(others):
         one.say(plain("OPTIONS", ref(n)))
     world.run(0.5)
-    assert not caller.closed and world.service.door.open <= most
+    assert not caller.closed and world.service.callers.open <= most
 
 
 def test_a_connection_in_use_is_not_let_go_for_want_of_descriptors() -> None:
@@ -734,7 +734,7 @@
         world.caller(f"10.9.7.{n}").say(plain("OPTIONS", ref(2000 + n)))
     world.run(0.1)
     assert first.statuses(ref(999)) == [503] and not first.closed
-    assert sum(one.closed for one in others) == 20 and world.service.door.open <= most
+    assert sum(one.closed for one in others) == 20 and world.service.callers.open <= most
 
 
 def test_where_all_connections_are_in_use_a_new_one_is_not_taken() -> None:
@@ -745,7 +745,7 @@
     world.run(0.05)
     new = world.caller("10.9.7.1")
     world.run(0.05)
-    assert (new.end is None or new.closed) and world.service.door.open == most
+    assert (new.end is None or new.closed) and world.service.callers.open == most
 
 
 # ---- the module's life ----
--- a/tests/test_platform_eviction.py
+++ b/tests/test_platform_eviction.py
@@ -96,7 +96,7 @@
         caller.say(invite(ref(5000 + n), more=";at:s-00000001"))
     world.run(0.1)
     assert set(world.core.calls) == {ref(5000 + n) for n in range(30)}
-    assert not any(caller.closed for caller in naming) and world.service.door.open <= most
+    assert not any(caller.closed for caller in naming) and world.service.callers.open <= most
     world.offices[1].down(ref(5007), 16, end=world.offices[1].ends[0])
     world.run(0.1)
     assert naming[7].byes(ref(5007))
@@ -116,4 +116,4 @@
     first.say(invite(A, 0))
     world.run(0.1)
     assert first.statuses(A) == [503] and not first.closed and not new.closed
-    assert world.service.door.open == most
+    assert world.service.callers.open == most
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -1,7 +1,7 @@
-"""Callers' connections: the only file of the platform that touches them. Decides nothing; the core is told what came.
+"""Callers' connections: the only file of the platform that touches them. The core is told what came.
 
-The door's limits are here, each with a name under which it is counted: `silent`, `half`, `unread`, `full`,
-`open_on_link` and those of the codec.
+Each limit has a name under which it is counted: `silent`, `half`, `unread`, `full`, `open_on_link` and those of the
+codec.
 """
 
 import asyncio
@@ -14,57 +14,62 @@
 from wellhitch.platform.eviction import SILENT_S, ConnectionTable
 from wellhitch.sip import codec as sip
 
-READING_TURNS = 2  # of the loop, from a connection's coming up until what came with it has been read
-ROOM_STEP_S = (
-    0.005  # between looks for room while new connections wait: a part of what a new one is given to speak
-)
-SWEEP_S = 0.25  # between looks at connections that are overdue: an eighth of the shortest limit
-MOST_SILENT_S = (
-    2.0  # that a connection may stay without a whole message: a refusal or a close is due within three
-)
-IDLE_S = 6.0  # that a connection may stay on which nothing is open or stands: usual callers close theirs after four
-HALF_S = 2.0  # that a message may take from its first byte to its last, for the same reason
-# s that a connection being closed is read to its end: a close with bytes unread resets it, and the other end may lose
-# the last answer that was written.
+# Turns of the loop from a connection's coming up until what came with it has been read.
+READING_TURNS = 2
+# Between looks for room while new connections wait: a part of what a new one is given to speak.
+ROOM_STEP_S = 0.005
+# Between looks at connections that are overdue: an eighth of the shortest limit.
+SWEEP_S = 0.25
+# Without a whole message: a refusal or a close is due within three seconds.
+SILENT_LIMIT_S = 2.0
+# Without a set-up or a call: usual callers close theirs after four seconds.
+IDLE_S = 6.0
+# From a message's first byte to its last, as for `SILENT_LIMIT_S`, and while draining.
+PARTIAL_MESSAGE_S = 2.0
+PARTIAL_WHILE_DRAINING_S = 0.5
+# That a connection being closed is read to its end: a close with bytes unread resets it, and the other end may lose the
+# last answer that was written. A bad client writes without end.
 LINGER_S = 1.0
-HALF_SAID_S = 0.5  # that a draining connection waits for the rest of a message
-LINGER_BYTES = 256 * 1024  # and no more than this: a bad client writes without end
-MOST_UNREAD = 64 * 1024  # bytes that wait for a caller to read; some two hundred answers
-MOST_OPEN = 400  # set-ups open on one connection; usual callers have tens
-READ_BYTES = 64 * 1024  # of the one buffer that all connections share
+LINGER_BYTES = 256 * 1024
+# That wait for a caller to read: some two hundred answers.
+MAX_UNSENT_BYTES = 64 * 1024
+# Open on one connection; usual callers have tens.
+MAX_SET_UPS = 400
+# Of the one buffer that all connections share.
+READ_BYTES = 64 * 1024
 
 
-class Hears(Protocol):
-    """Who is told what callers say."""
+class CallerEvents(Protocol):
+    """Who is told what callers send, and knows what is open on their connections."""
 
-    def caller_said(self, link: "CallerLink", message: sip.Message) -> None:
+    def message_received(self, connection: "CallerConnection", message: sip.Message) -> None:
         """A whole message came."""
 
-    def caller_closing(self, link: "CallerLink") -> None:
+    def connection_closing(self, connection: "CallerConnection") -> None:
         """A connection is about to be closed from here: what is open on it is answered first."""
 
-    def caller_closed(self, link: "CallerLink") -> None:
+    def connection_closed(self, connection: "CallerConnection") -> None:
         """A connection is gone."""
 
-    def open_on(self, link: "CallerLink") -> int:
+    def set_ups_on(self, connection: "CallerConnection") -> int:
         """How many set-ups are open on it."""
 
-    def standing_on(self, link: "CallerLink") -> int:
+    def calls_on(self, connection: "CallerConnection") -> int:
         """How many calls stand whose set-up came on it."""
 
     def log(self, event: str, **facts: Any) -> None:
         """One line of the log."""
 
 
-class CallerLink(asyncio.BufferedProtocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection from a caller."""
 
     __slots__ = (
-        "door",
+        "owner",
         "transport",
         "decoder",
         "since",
-        "half_since",
+        "partial_since",
         "closing_since",
         "discarded",
         "messages",
@@ -73,12 +78,12 @@
         "__weakref__",
     )
 
-    def __init__(self, door: "Door") -> None:
-        self.door = door
+    def __init__(self, owner: "CallerConnections") -> None:
+        self.owner = owner
         self.transport: asyncio.Transport | None = None
         self.decoder = sip.Decoder()
         self.since = 0.0
-        self.half_since: float | None = None
+        self.partial_since: float | None = None
         self.closing_since: float | None = None
         self.discarded = 0  # bytes that came while it was being closed
         self.messages = 0  # whole ones that came
@@ -87,53 +92,53 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.since = self.door.loop.time()
+        self.since = self.owner.loop.time()
         self.peer = str(transport.get_extra_info("peername"))
-        self.door.opened(self)
+        self.owner.opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.door.buffer
+        return self.owner.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.closing_since is not None:
             self._read_while_closing(nbytes)
             return
         try:
-            messages = self.decoder.feed(self.door.buffer[:nbytes])
+            messages = self.decoder.feed(self.owner.buffer[:nbytes])
         except sip.BadSip as bad:
             self.unreadable = True
             # The connection closes, so that no answer to a set-up before the noise could arrive: none is dialled.
             self._take(
                 [one for one in bad.before if not (isinstance(one, sip.Request) and one.method == "INVITE")]
             )
-            self.door.counts[f"door.{bad.limit}"] += 1
+            self.owner.counts[f"door.{bad.limit}"] += 1
             self._refuse_and_close(bad)
             return
         self.messages += len(messages)
         if messages:
-            self.door.heard(self)
+            self.owner.heard(self)
         self._take(messages)
         if not self.decoder.pending:
-            self.half_since = None
-        elif self.half_since is None or messages:
-            self.half_since = self.door.loop.time()
+            self.partial_since = None
+        elif self.partial_since is None or messages:
+            self.partial_since = self.owner.loop.time()
 
     def _read_while_closing(self, nbytes: int) -> None:
         """What comes after the close: the ends of calls count, and calls that are named, since nothing is answered to
         that; a set-up cannot be answered any more."""
         self.discarded += nbytes
         if self.discarded > LINGER_BYTES:
-            self.door.abort(self)
+            self.owner.abort(self)
         if self.unreadable or self.discarded > LINGER_BYTES:
             return
         try:
-            messages = self.decoder.feed(self.door.buffer[:nbytes])
+            messages = self.decoder.feed(self.owner.buffer[:nbytes])
         except sip.BadSip:
             self.unreadable = True
             return
         for message in messages:
             if isinstance(message, sip.Response) or message.method == "BYE" or names_call(message):
-                self.door.hears.caller_said(self, message)
+                self.owner.events.message_received(self, message)
 
     def _take(self, messages: list[sip.Message]) -> None:
         for message in messages:
@@ -142,12 +147,12 @@
             if (
                 isinstance(message, sip.Request)
                 and message.method == "INVITE"
-                and self.door.hears.open_on(self) >= MOST_OPEN
+                and self.owner.events.set_ups_on(self) >= MAX_SET_UPS
             ):
-                self.door.counts["door.open_on_link"] += 1
+                self.owner.counts["door.open_on_link"] += 1
                 self.write(sip.response(503, sip.echo(message)))
                 continue
-            self.door.hears.caller_said(self, message)
+            self.owner.events.message_received(self, message)
 
     def _refuse_and_close(self, bad: sip.BadSip) -> None:
         request = bad.request
@@ -162,10 +167,10 @@
         if transport is None or self.closing_since is not None or transport.is_closing():
             return False
         transport.write(data)
-        if transport.get_write_buffer_size() > MOST_UNREAD:
-            self.door.counts["door.unread"] += 1
-            self.door.closing_for(self, "unread")
-            self.closing_since = self.door.loop.time()
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.owner.counts["door.unread"] += 1
+            self.owner.closing_for(self, "unread")
+            self.closing_since = self.owner.loop.time()
             transport.abort()
         return True
 
@@ -173,10 +178,10 @@
         """Close once what was written is out and the other end has closed too. `why` is for the log."""
         if self.closing_since is not None:
             return
-        self.door.closing_for(self, why)
-        self.door.hears.caller_closing(self)
-        self.closing_since = self.door.loop.time()
-        self.door.table.lingers(self, self.closing_since)
+        self.owner.closing_for(self, why)
+        self.owner.events.connection_closing(self)
+        self.closing_since = self.owner.loop.time()
+        self.owner.table.lingers(self, self.closing_since)
         if self.transport is None:
             return
         try:
@@ -189,26 +194,26 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.closing_since is None:
-            self.closing_since = self.door.loop.time()
-        self.door.lost(self)
+            self.closing_since = self.owner.loop.time()
+        self.owner.lost(self)
 
 
-class Door:
-    """All connections from callers, at most `most`, and for moments `room` more that have just come up."""
+class CallerConnections:
+    """All connections from callers, at most `limit`, and for moments `room` more that have just come up."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         network: Network,
-        hears: Hears,
-        most: int,
+        events: CallerEvents,
+        limit: int,
         room: int,
         counts: Counter[str],
     ) -> None:
-        self.loop, self.network, self.hears, self.counts = loop, network, hears, counts
-        self.most, self.room = most, room
+        self.loop, self.network, self.events, self.counts = loop, network, events, counts
+        self.limit, self.room = limit, room
         self.buffer = memoryview(bytearray(READ_BYTES))
-        self.table: ConnectionTable[CallerLink] = ConnectionTable(hears.open_on, hears.standing_on)
+        self.table: ConnectionTable[CallerConnection] = ConnectionTable(events.set_ups_on, events.calls_on)
         self.listener: Listener | None = None
         self._sweeping: Any = None
         self._looking_for_room: Any = None
@@ -220,15 +225,15 @@
             self.listener = listener
             ready()
 
-        self.network.listen(address, lambda: CallerLink(self), listening)
+        self.network.listen(address, lambda: CallerConnection(self), listening)
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
-    def opened(self, link: CallerLink) -> None:
+    def opened(self, connection: CallerConnection) -> None:
         """A connection is there. Guards the descriptors: where there are too many, others are closed, but not before
         what has come on all of them is read."""
-        self.table.opened(link, self.loop.time())
+        self.table.opened(connection, self.loop.time())
         if self._too_many:
-            if self.open > self.most + self.room and self.listener is not None:
+            if self.open > self.limit + self.room and self.listener is not None:
                 self.listener.pause()
             self._after_turns(READING_TURNS, self._make_room)
 
@@ -241,25 +246,25 @@
 
     @property
     def _too_many(self) -> bool:
-        return self.table.in_service > self.most or self.open > self.most + self.room
+        return self.table.in_service > self.limit or self.open > self.limit + self.room
 
     def _make_room(self) -> None:
         """Close connections where too many are in service, and read them to their end. While there is no room for that,
         and while it is not known what the new ones want, more of them wait to be taken."""
         now = self.loop.time()
-        while self.table.in_service > self.most:
+        while self.table.in_service > self.limit:
             evicted = self.table.next_to_evict(now)
             if evicted is None:
                 break
             self.counts["door.full"] += 1
             evicted.close("full")
-        while self.open > self.most + self.room:
+        while self.open > self.limit + self.room:
             closed = self.table.next_to_reset(now)
             if closed is None:
                 break
             self.abort(closed)
         if self.listener is not None:
-            if self.open > self.most + self.room:
+            if self.open > self.limit + self.room:
                 self.listener.pause()
             else:
                 self.listener.resume()
@@ -270,39 +275,39 @@
         self._looking_for_room = None
         self._make_room()
 
-    def heard(self, link: CallerLink) -> None:
+    def heard(self, connection: CallerConnection) -> None:
         """A whole message came: it is the last to go of those that may."""
-        link.since = self.loop.time()
-        if link.closing_since is None:
-            self.table.message_came(link, link.since)
+        connection.since = self.loop.time()
+        if connection.closing_since is None:
+            self.table.message_came(connection, connection.since)
 
-    def abort(self, link: CallerLink) -> None:
+    def abort(self, connection: CallerConnection) -> None:
         """Close at once, with a reset."""
         # It counts no more from here on: asyncio tells that it is lost only in the next turn, and in one turn a burst
         # brings hundreds, each of which must put another one out.
-        self.table.forget(link)
-        if link.closing_since is None:
-            self.closing_for(link, "full")
-        link.closing_since = link.closing_since or self.loop.time()
-        if link.transport is not None:
-            link.transport.abort()
-
-    def lost(self, link: CallerLink) -> None:
+        self.table.forget(connection)
+        if connection.closing_since is None:
+            self.closing_for(connection, "full")
+        connection.closing_since = connection.closing_since or self.loop.time()
+        if connection.transport is not None:
+            connection.transport.abort()
+
+    def lost(self, connection: CallerConnection) -> None:
         """A connection is gone."""
-        self.table.forget(link)
-        self.hears.caller_closed(link)
+        self.table.forget(connection)
+        self.events.connection_closed(connection)
 
-    def closing_for(self, link: CallerLink, why: str) -> None:
+    def closing_for(self, connection: CallerConnection, why: str) -> None:
         """A connection is closed from here: say why, and what is left on it."""
-        hears = self.hears
-        hears.log(
+        events = self.events
+        events.log(
             "caller_connection_closed",
             why=why,
-            open=hears.open_on(link),
-            established=hears.standing_on(link),
-            peer=link.peer,
-            messages=link.messages,
-            quiet_ms=round((self.loop.time() - link.since) * 1000),
+            open=events.set_ups_on(connection),
+            established=events.calls_on(connection),
+            peer=connection.peer,
+            messages=connection.messages,
+            quiet_ms=round((self.loop.time() - connection.since) * 1000),
         )
 
     @property
@@ -313,36 +318,39 @@
     def _sweep(self) -> None:
         now = self.loop.time()
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
-        for link in list(self.table.closing):
-            if link.closing_since is not None and now - link.closing_since > LINGER_S:
-                self.abort(link)
-        for link in [*self.table.silent, *self.table.heard]:
-            if link.half_since is not None and now - link.half_since > HALF_S:
-                if self.hears.open_on(link):
+        for connection in list(self.table.closing):
+            if connection.closing_since is not None and now - connection.closing_since > LINGER_S:
+                self.abort(connection)
+        for connection in [*self.table.silent, *self.table.heard]:
+            if connection.partial_since is not None and now - connection.partial_since > PARTIAL_MESSAGE_S:
+                if self.events.set_ups_on(connection):
                     continue  # a slow writer; what it asked before is answered first
                 self.counts["door.half"] += 1
-                link.write(sip.response(408, ""))
-                link.close("half")
-            elif link in self.table.silent:
-                if now - link.since > MOST_SILENT_S:
+                connection.write(sip.response(408, ""))
+                connection.close("half")
+            elif connection in self.table.silent:
+                if now - connection.since > SILENT_LIMIT_S:
                     self.counts["door.silent"] += 1
-                    link.close("silent")
+                    connection.close("silent")
             elif (
-                now - link.since > IDLE_S
-                and not self.hears.open_on(link)
-                and not self.hears.standing_on(link)
+                now - connection.since > IDLE_S
+                and not self.events.set_ups_on(connection)
+                and not self.events.calls_on(connection)
             ):
                 self.counts["door.idle"] += 1
-                link.close("idle")
+                connection.close("idle")
 
     def close_unused(self) -> None:
         """While draining: close each connection on which nothing is open, half said, or still to be told."""
         now = self.loop.time()
-        for link in [*self.table.silent, *self.table.heard]:
-            half = link.half_since is not None and now - link.half_since < HALF_SAID_S
-            new = link in self.table.silent and now - link.since < SILENT_S
-            if not (half or new or self.hears.open_on(link) or self.hears.standing_on(link)):
-                link.close("draining")
+        for connection in [*self.table.silent, *self.table.heard]:
+            half = (
+                connection.partial_since is not None
+                and now - connection.partial_since < PARTIAL_WHILE_DRAINING_S
+            )
+            new = connection in self.table.silent and now - connection.since < SILENT_S
+            if not (half or new or self.events.set_ups_on(connection) or self.events.calls_on(connection)):
+                connection.close("draining")
 
     def stop_listening(self) -> None:
         """Take no new connections."""
@@ -353,13 +361,13 @@
     def close(self) -> None:
         """Close all."""
         self.stop_listening()
-        for link in [*self.table.silent, *self.table.heard]:
-            link.close("stopping")
+        for connection in [*self.table.silent, *self.table.heard]:
+            connection.close("stopping")
 
     def abort_all(self) -> None:
         """Leave nothing open."""
         for timer in (self._sweeping, self._looking_for_room):
             if timer is not None:
                 timer.cancel()
-        for link in [*self.table.silent, *self.table.heard, *self.table.closing]:
-            self.abort(link)
+        for connection in [*self.table.silent, *self.table.heard, *self.table.closing]:
+            self.abort(connection)
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -21,13 +21,13 @@
 from wellhitch.platform.records import Call, DialOut, OfficeEnd, Step, Taken
 from wellhitch.sip import codec as sip
 
-ANSWER_MARGIN = (
-    20_000  # us; taken off each dialogue's time so that its answer is there before the time is up: a busy
-)
-# turn of the loop takes less
-MAX_LOAD = 256  # characters of a load report; with four names it has some sixty
-# us after the start within which callers name their calls from before it; they do so once the front takes it in again.
-NAMED_WITHIN = 15_000_000
+# Taken off each deadline, so that the answer is there in time although a turn of the loop is late by most of it. The
+# operators allow 50 ms more on every limit.
+ANSWER_MARGIN_US = 20_000
+# Characters of a load report; with four names it has some sixty.
+MAX_LOAD_REPORT = 256
+# After the start, in which callers name their calls from before it; they do so once the front takes it in again.
+CALLS_NAMED_WITHIN_US = 15_000_000
 
 ENDINGS = {
     34: ev.Ending.FULL,
@@ -79,7 +79,7 @@
             self._follow_standing(end, now)
             if end.standing is ev.Standing.DRAINING and end.number != self.number:
                 self.outlet.keep_links(end)
-        self.outlet.timer(NAMED_WITHIN, self._calls_named)
+        self.outlet.timer(CALLS_NAMED_WITHIN_US, self._calls_named)
 
     def _calls_named(self, now: int) -> None:
         self._callers_named_calls = True
@@ -209,7 +209,7 @@
                 use_case=set_up.use_case,
                 destination=set_up.destination,
                 called=set_up.key,
-                left=max(0, left - ANSWER_MARGIN),
+                left=max(0, left - ANSWER_MARGIN_US),
                 width=set_up.width,
                 advised=set_up.advised,
                 redialled=set_up.redialled,
@@ -613,7 +613,7 @@
     load = line.f.get("load")
     if load is None:
         return NOTHING_TOLD
-    return _read_load(load) if isinstance(load, str) and len(load) <= MAX_LOAD else NOTHING_TOLD
+    return _read_load(load) if isinstance(load, str) and len(load) <= MAX_LOAD_REPORT else NOTHING_TOLD
 
 
 @lru_cache(maxsize=1024)
--- a/wellhitch/platform/door.py
+++ b/wellhitch/platform/door.py
@@ -6,15 +6,14 @@
 
 from wellhitch.sip.codec import Request
 
-MOST_LEFT_MS = (
-    600_000  # ten minutes; outer limits of the platform are seconds, and what is longer is no figure
-)
-MOST_WIDTH = 1024  # circuits of one dialogue; the largest trunk groups have some hundreds
-NUMBERS = 65536  # exchange numbers are two bytes on the notice board
-MAX_DESCRIPTION = (
-    4096  # bytes: usual ones have eighty, and as a JSON line with escapes it stays under 16 KiB even
-)
-# where most of it is escaped as two characters
+# Ten minutes; deadlines of the platform are seconds, and what is longer is no figure.
+MAX_LEFT_MS = 600_000
+# Circuits of one call; the largest trunk groups have some hundreds.
+MAX_WIDTH = 1024
+# Exchange numbers are two bytes at discovery.
+NUMBERS = 65536
+# Usual ones have eighty bytes, and as a JSON line it stays under 16 KiB even where most of it is escaped.
+MAX_DESCRIPTION = 4096
 
 _ADDRESS = re.compile(r"sips?:([0-9a-fA-F]{16})@[!-~]+")
 _ID = re.compile(r"[0-9a-fA-F]{16}")
@@ -70,7 +69,7 @@
     use_case, left = headers.get("x-tier", ""), headers.get("x-deadline", "")
     if use_case not in use_cases:
         return "unknown_use_case"
-    if not _FIGURE.fullmatch(left) or not 0 < int(left) <= MOST_LEFT_MS:
+    if not _FIGURE.fullmatch(left) or not 0 < int(left) <= MAX_LEFT_MS:
         return "left"
     attributes = _attributes(headers.get("x-attrs", ""))
     if attributes is None:
@@ -82,7 +81,7 @@
     advised, transit = _figure(attributes, "via", -1), _figure(attributes, "transit", 0)
     if destination is None or not 0 <= destination < NUMBERS:
         return "destination"
-    if width is None or not 1 <= width <= MOST_WIDTH:
+    if width is None or not 1 <= width <= MAX_WIDTH:
         return "width"
     if advised is None or not -1 <= advised < NUMBERS:
         return "advised"
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -8,7 +8,7 @@
 from wellhitch.board.codec import Notice
 from wellhitch.net.seam import Network, Sender, Timer, now_us
 from wellhitch.office_lines.codec import Line
-from wellhitch.platform.callers import CallerLink, Door
+from wellhitch.platform.callers import CallerConnection, CallerConnections
 from wellhitch.platform.configuration import Told
 from wellhitch.platform.core import Core
 from wellhitch.platform.discovery import DiscoveryClient
@@ -70,7 +70,9 @@
         for_callers, for_offices, _ = shares(told.sockets)
         self.core = Core(told.opened, told.max_open, unix_now() - now_us(loop), self)
         self.counts: Counter[str] = self.core.counts
-        self.door = Door(loop, network, self, for_callers, room_for_new(told.sockets), self.counts)
+        self.callers = CallerConnections(
+            loop, network, self, for_callers, room_for_new(told.sockets), self.counts
+        )
         self.links = OfficeLinks(loop, network, self, told.connect_within / 1e6, for_offices, self.counts)
         self.discovery = DiscoveryClient(
             loop, network, told.place.board, told.number, self._told, log, self.counts
@@ -92,7 +94,7 @@
         self.discovery.start()
         if self.told.place.peer_listen:
             self.network.datagrams(self.told.place.peer_listen, self._datagram, self._may_send)
-        self.door.listen(
+        self.callers.listen(
             self.told.place.listen, lambda: self.write_log("listening", address=self.told.place.listen)
         )
         self.loop.call_later(STATUS_S, self._status)
@@ -121,13 +123,13 @@
         if not self.core.draining:
             self.core.draining = True
             self.write_log(
-                "draining", owed=self.core.owed, standing=len(self.core.calls), callers=self.door.open
+                "draining", owed=self.core.owed, standing=len(self.core.calls), callers=self.callers.open
             )
         closing = self._schedule.phase(self.now() - self._stop_at) is Phase.CLOSING
-        if closing or nothing_left(self.core.owed, len(self.core.calls), self.door.open):
+        if closing or nothing_left(self.core.owed, len(self.core.calls), self.callers.open):
             self._close()
             return
-        self.door.close_unused()
+        self.callers.close_unused()
         self.loop.call_later(STOP_LOOK_S, self._drain)
 
     def _close(self) -> None:
@@ -136,20 +138,20 @@
         self.core.forfeit_all(self.now())
         # A release that came from here on could be told to nobody, and the next process would not get it again.
         self.links.read_no_more()
-        self.door.close()
+        self.callers.close()
         self._end_when_closed()
 
     def _end_when_closed(self) -> None:
-        if self.door.open and self.now() - self._stop_at < self._schedule.end_at:
+        if self.callers.open and self.now() - self._stop_at < self._schedule.end_at:
             self.loop.call_later(STOP_LOOK_S, self._end_when_closed)
             return
         self.write_log(
-            "stopped", standing=len(self.core.calls), open=self.door.open, counts=dict(self.counts)
+            "stopped", standing=len(self.core.calls), open=self.callers.open, counts=dict(self.counts)
         )
         self.discovery.stop()
         if self.sender is not None:
             self.sender.close()
-        self.door.abort_all()
+        self.callers.abort_all()
         self.loop.call_soon(self.ended)
 
     def now(self) -> int:
@@ -181,7 +183,7 @@
             "owed": core.owed,
             "held": len(core.exchange.dialogues),
             "standing": len(core.calls),
-            "callers": self.door.open,
+            "callers": self.callers.open,
             "releases": len(core.releases),
             "releases_again": core.releases.again,
             "releases_dropped": core.releases.dropped,
@@ -195,11 +197,11 @@
 
     def to_caller(self, link: Hashable, data: bytes) -> bool:
         """As `core.Outlet`."""
-        return isinstance(link, CallerLink) and link.write(data)
+        return isinstance(link, CallerConnection) and link.write(data)
 
     def close_caller(self, link: Hashable) -> None:
         """As `core.Outlet`."""
-        if isinstance(link, CallerLink):
+        if isinstance(link, CallerConnection):
             link.close("refused request")
 
     def dial(self, dial: DialOut, line: bytes) -> None:
@@ -263,25 +265,25 @@
 
     # ---- what comes ----
 
-    def caller_said(self, link: CallerLink, message: Message) -> None:
-        """As `callers.Hears`."""
-        self.core.caller_said(link, message, self.now())
+    def message_received(self, connection: CallerConnection, message: Message) -> None:
+        """As `callers.CallerEvents`."""
+        self.core.caller_said(connection, message, self.now())
 
-    def caller_closing(self, link: CallerLink) -> None:
-        """As `callers.Hears`."""
-        self.core.caller_closing(link, self.now())
+    def connection_closing(self, connection: CallerConnection) -> None:
+        """As `callers.CallerEvents`."""
+        self.core.caller_closing(connection, self.now())
 
-    def caller_closed(self, link: CallerLink) -> None:
-        """As `callers.Hears`."""
-        self.core.caller_closed(link, self.now())
+    def connection_closed(self, connection: CallerConnection) -> None:
+        """As `callers.CallerEvents`."""
+        self.core.caller_closed(connection, self.now())
 
-    def open_on(self, link: CallerLink) -> int:
-        """As `callers.Hears`."""
-        return self.core.open_on(link)
+    def set_ups_on(self, connection: CallerConnection) -> int:
+        """As `callers.CallerEvents`."""
+        return self.core.open_on(connection)
 
-    def standing_on(self, link: CallerLink) -> int:
-        """As `callers.Hears`."""
-        return self.core.standing_on(link)
+    def calls_on(self, connection: CallerConnection) -> int:
+        """As `callers.CallerEvents`."""
+        return self.core.standing_on(connection)
 
     def office_heard(self, end: OfficeEnd, link: OfficeLink) -> None:
         """As `offices.Hears`."""
