--- a/wellhitch/lab/trials/fleet.py
+++ b/wellhitch/lab/trials/fleet.py
@@ -83,6 +83,7 @@
         self.chance = random.Random(self.plan.seed ^ 0x5EED)
         self.ready: set[str] = set()
         self.crowd_at_return = 0
+        self._crowds: set[asyncio.Task[None]] = set()
 
     async def play(self) -> None:
         """Start everything, let the steps happen, and wait until what is over has been told."""
@@ -107,7 +108,7 @@
                 if task.done() and not task.cancelled() and task.exception() is not None:
                     raise task.exception()  # type: ignore[misc]
         finally:
-            for task in tasks:
+            for task in (*tasks, *self._crowds):
                 task.cancel()
             self._stop()
 
@@ -353,7 +354,9 @@
         """Begin the crowd that waits for a call server to be ready, and go on while it comes up."""
         connections, self.crowd_at_return = self.crowd_at_return, 0
         if connections:
-            self.loop.create_task(self._crowd_of(clients, connections))
+            crowd = self.loop.create_task(self._crowd_of(clients, connections))
+            self._crowds.add(crowd)
+            crowd.add_done_callback(self._crowds.discard)
             await asyncio.sleep(self.chance.uniform(0.0, CROWD_BEFORE_NAMING_S))
 
     async def _crowd(self, connections: int) -> None:
