Parties on loopback have addresses that nobody else is given

What clients sent reached a stranger, and the call server ended with 'cannot listen'.

Evidence: its process was not there at SIGTERM (6.15 s), and its clients' connections lasted until 14.752 s, longer than any process of it could. A listener put on the port on purpose gives the same verdict: the same first calls lost, 'ended after SIGTERM 2', and 'ended with 1' for the third.

Change: `lab/loopback.py`: a loopback host for each process of ours, ports below the system's range.

--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,25 @@
+"""Addresses of this process alone."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+from wellhitch.lab.loopback import own_address, own_host
+from wellhitch.net.seam import is_loopback, split
+
+RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+
+def test_an_address_is_given_once_and_never_by_the_system() -> None:
+    # Guards against a stranger at a call server's address: what its clients sent was never answered.
+    given = [split(own_address()) for _ in range(1000)]
+    assert len(set(given)) == 1000 and {host for host, _ in given} == {own_host()}
+    assert is_loopback(own_host())
+    first = int(RANGE.read_text().split()[0]) if RANGE.exists() else 32768
+    assert all(1024 <= port < first for _, port in given)
+
+
+def test_another_process_has_another_host() -> None:
+    code = "from wellhitch.lab.loopback import own_host; print(own_host())"
+    other = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert other.stdout.strip() not in ("", own_host())
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -14,6 +14,8 @@
 
 import pytest
 
+from wellhitch.lab.loopback import own_address
+from wellhitch.net.seam import split
 from wellhitch.platform.configuration import read_configuration
 from wellhitch.settings.checked import Faults
 from wellhitch.sip import codec as sip
@@ -167,10 +169,10 @@
 
     def __init__(self, folder: Path, most_files: int = 256) -> None:
         self.board = socket.create_server(("127.0.0.1", 0))
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        listen = own_address()
+        self.address = split(listen)
         self.sheet = sheet(
-            listen=f"127.0.0.1:{self.port}",
+            listen=listen,
             board=f"127.0.0.1:{self.board.getsockname()[1]}",
             limits={"cores": 1.0, "memory_mb": 64, "sockets": most_files},
         )
@@ -200,7 +202,7 @@
         raise AssertionError(f"no {event}: {self.log.read_text()}")
 
     def ask(self, data: bytes) -> sip.Response:
-        with socket.create_connection(("127.0.0.1", self.port), timeout=PATIENCE) as link:
+        with socket.create_connection(self.address, timeout=PATIENCE) as link:
             link.sendall(data)
             decoder = sip.Decoder()
             while True:
@@ -247,7 +249,7 @@
 def test_hundreds_of_connections_never_bring_it_to_its_descriptors_limit(tmp_path: Path) -> None:
     process = Process(tmp_path)
     try:
-        silent = [socket.create_connection(("127.0.0.1", process.port), timeout=PATIENCE) for _ in range(400)]
+        silent = [socket.create_connection(process.address, timeout=PATIENCE) for _ in range(400)]
         assert process.ask(plain("OPTIONS", "0000000000000001")).status == 200
         for one in silent:
             one.close()
@@ -278,9 +280,7 @@
     opened = []
     try:
         for _ in range(3):
-            crowd = [
-                socket.create_connection(("127.0.0.1", process.port), timeout=PATIENCE) for _ in range(250)
-            ]
+            crowd = [socket.create_connection(process.address, timeout=PATIENCE) for _ in range(250)]
             for one in crowd:
                 with contextlib.suppress(OSError):
                     one.sendall(plain("OPTIONS", "0000000000000002"))
--- a/wellhitch/lab/fleet.py
+++ b/wellhitch/lab/fleet.py
@@ -19,6 +19,7 @@
 from wellhitch.emulator.network import EmulatedNetwork
 from wellhitch.emulator.party import PartyLoop
 from wellhitch.interface.events import Opened
+from wellhitch.lab.loopback import own_address
 from wellhitch.ledger.desk import Desk, Door
 from wellhitch.ledger.entries import NumberKeys
 from wellhitch.net.seam import LoopbackNetwork
@@ -41,7 +42,7 @@
 
 
 class LoopbackAddresses:
-    """Addresses on loopback: each door gets a free port when first asked for, held until then by nobody."""
+    """Addresses on loopback: each door gets one of this process's own when first asked for."""
 
     def __init__(self) -> None:
         self._known: dict[tuple[str, str], str] = {}
@@ -50,9 +51,7 @@
         """As `Addresses`."""
         known = self._known.get((host, door))
         if known is None:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                known = self._known[host, door] = f"127.0.0.1:{probe.getsockname()[1]}"
+            known = self._known[host, door] = own_address()
         return known
 
 
--- a/wellhitch/lab/trials/fleet.py
+++ b/wellhitch/lab/trials/fleet.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import socket
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from wellhitch.lab.loopback import own_address, own_host
 from wellhitch.lab.trials.client import Clients, Manner, bad_client
 from wellhitch.lab.trials.discovery import Discovery, EndpointState, Listed
 from wellhitch.lab.trials.endpoint import Endpoint, EndpointTraits
@@ -17,7 +17,6 @@
 from wellhitch.lab.trials.sockets import open_connection
 from wellhitch.stand_ins.platform import plain
 
-HOST = "127.0.0.1"
 READY_WITHIN_S = 30.0
 TELL_LIMIT_S = 9.5  # after the last step: every call that is over has been told by then
 NEW_CONNECTIONS_AFTER_TERM_S = (0.2, 0.4)
@@ -130,13 +129,13 @@
         self.endpoints = [self._endpoint(cell) for cell in range(plan.endpoints)]
         self.states = {endpoint.id: EndpointState.UP for endpoint in self.endpoints}
         self.starts = {endpoint.id: 0 for endpoint in self.endpoints}
-        self.discovery = Discovery(self.loop, self.records, HOST, names)
+        self.discovery = Discovery(self.loop, self.records, own_host(), names)
         self.discovery.tell(*(self._listed(endpoint) for endpoint in self.endpoints))
         self.servers = [
             CallServer(
                 name,
                 cell,
-                f"{HOST}:{_free_port()}",
+                own_address(),
                 self.folder,
                 self.records,
                 settings_of(plan, cell),
@@ -163,7 +162,7 @@
     def _endpoint(self, cell: int) -> Endpoint:
         made = f"s-{self.chance.getrandbits(32):08x}"
         chance = random.Random(self.chance.getrandbits(32))
-        return Endpoint(self.loop, self.records, chance, made, HOST, cell, self.names, self.traits)
+        return Endpoint(self.loop, self.records, chance, made, own_host(), cell, self.names, self.traits)
 
     def _listed(self, endpoint: Endpoint) -> Listed:
         addresses = {name: endpoint.address(name) for name in self.names}
@@ -381,9 +380,3 @@
 
     async def _bad_client(self) -> None:
         await bad_client(self.loop, self.chance, self.chance.choice(self.servers).listen, 3.0)
-
-
-def _free_port() -> int:
-    with socket.create_server((HOST, 0)) as taken:
-        port: int = taken.getsockname()[1]
-        return port
