--- a/tests/test_platform_discovery.py
+++ b/tests/test_platform_discovery.py
@@ -113,7 +113,7 @@
     world = World()
     caller = world.standing("000000000000000a")
     asked = len(world.board.asked)
-    world.board.tell(row(1, GONE, started_ms=UNIX // 1000 + 50))
+    world.board.tell(row(1, GONE, started_ms=UNIX // 1000 + 10_000))
     world.run(1)
     assert caller.byes("000000000000000a") and not world.core.calls
     assert len(world.board.asked) == asked
