Review, case 3 anew: a slow discovery is never waited for, and calls go astray

The earlier case 3 (calls from before an office's new start) needs two disruptions; this one needs one, and its calls reach the office of another exchange. The earlier one stays in the report.

--- a/review/rig.py
+++ b/review/rig.py
@@ -28,6 +28,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NUMBER = "7f3a9c21e0b4d6"  # the number called, without its last two digits
+LOG_LINES = 300  # of the call server's log, from its beginning and from its end, in the record
 SLACK_S = 0.05  # by which every time limit is longer on sockets
 STATES = {"up": 0, "draining": 1, "removed": 2}
 
@@ -189,7 +190,8 @@
         self.record, self.number, self.hold_s = record, number, hold_s
         self.id, self.name = f"s-{0x41C07A00 + number:08x}", f"office-{number}"
         self.port = free_port()
-        self.circuits = (90, 90)  # free ones and all of the group to the call server's exchange
+        # Of the group to the call server's exchange: those free without the calls of this one, and all.
+        self.circuits = (90, 90)
         self.work_s, self.wait_s = 0.012, 0.0
         self.refuse: Callable[[str], tuple[int, str] | None] = lambda ref: None
         self.links: list[OfficeLink] = []
@@ -241,7 +243,7 @@
 
     def report(self, link: OfficeLink) -> None:
         """Send the state of the trunk group to the call server's exchange."""
-        load = f"spare:{self.circuits[0]};total:{self.circuits[1]}"
+        load = f"spare:{max(0, self.circuits[0] - len(self.calls))};total:{self.circuits[1]}"
         link.write({"t": "gauge", "ref": "0" * 16, "f": {"load": load}})
 
     def send_releases_again(self, link: OfficeLink) -> None:
@@ -276,6 +278,7 @@
             else:
                 self.record.add(self.name, f"release of {ref} handled: no call of that id stands")
             link.write({"t": "ack", "ref": ref, "f": {}})
+            self.report(link)
             return
         if link.transport is None:
             return  # a connection that is closed gives up its set-ups
@@ -292,6 +295,7 @@
         self.calls[ref] = link
         self.answers.append((self.record.add(self.name, f"up {ref} {description!r}"), ref))
         link.write({"t": "up", "ref": ref, "f": {}, "d": description})
+        self.report(link)
         asyncio.get_running_loop().call_later(self.hold_s, self._end_call, ref, link)
 
     def _end_call(self, ref: str, link: OfficeLink) -> None:
@@ -303,6 +307,7 @@
         self._released[ref] = release  # also on the next connection
         for other in [link, *self.links]:
             if other.write(release):
+                self.report(other)
                 return
 
     def link_ended(self, link: OfficeLink) -> None:
@@ -316,12 +321,14 @@
 
 
 class Board:
-    """The notice board: numbered events, the first of which holds the whole list."""
+    """The notice board: numbered events, the first of which holds the whole list. All that it sends comes `delay_s`
+    late, on new connections too."""
 
     def __init__(self, record: Record, offices: list[Office]) -> None:
         self.record, self.offices = record, offices
         self.port = free_port()
         self.events: list[list[dict[str, Any]]] = [[self.entry(office, "up", 0) for office in offices]]
+        self.delay_s = 0.0
         self._writers: dict[asyncio.StreamWriter, int] = {}
 
     @staticmethod
@@ -358,21 +365,43 @@
             self._send_later_events(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        heartbeats = None
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             self._writers[writer] = struct.unpack(">Q", await reader.readexactly(8))[0]
-            while not writer.is_closing():
-                self._send_later_events(writer)
-                writer.write(struct.pack(">IQB", 9, len(self.events), 0))
-                await asyncio.sleep(1)
+            self.record.add("board", f"asked for what follows event {self._writers[writer]}")
+            heartbeats = asyncio.create_task(self._send_heartbeats(writer))
+            await reader.read()
+        if heartbeats is not None:
+            heartbeats.cancel()
+            self.record.add("board", "the call server has closed a connection")
         self._writers.pop(writer, None)
+        writer.close()
+
+    async def _send_heartbeats(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            self._send_later_events(writer)
+            self._write(writer, struct.pack(">IQB", 9, len(self.events), 0))
+            await asyncio.sleep(1)
 
     def _send_later_events(self, writer: asyncio.StreamWriter) -> None:
         for number in range(self._writers[writer] + 1, len(self.events) + 1):
             payload = b"".join(self._packed(entry) for entry in self.events[number - 1])
             kind = 1 if number == 1 else 2
-            writer.write(struct.pack(">IQB", 9 + len(payload), number, kind) + payload)
+            self._write(writer, struct.pack(">IQB", 9 + len(payload), number, kind) + payload)
         self._writers[writer] = len(self.events)
 
+    def _write(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
+        """Write a frame, `delay_s` after it is due."""
+        if not self.delay_s:
+            writer.write(frame)
+            return
+
+        def write_late() -> None:
+            if writer in self._writers:
+                writer.write(frame)
+
+        asyncio.get_running_loop().call_later(self.delay_s, write_late)
+
     @staticmethod
     def _packed(entry: dict[str, Any]) -> bytes:
         host, _, port = entry["addr"].rpartition(":")
@@ -428,7 +457,8 @@
         self._send("BYE", call, 2, "Reason: Q.850;cause=16\r\n")
 
     def _send(self, method: str, call: str, cseq: int, headers: str, body: str = "") -> None:
-        assert self._writer is not None
+        if self._writer is None or self.closed_at is not None:
+            raise CouldNotRun(f"the connection of {self.name} is not up")
         address = f"sip:{NUMBER}{call[-2:]}@net" if method == "INVITE" else "sip:call@net"
         self._writer.write(
             (
@@ -566,9 +596,17 @@
             self.process.wait()
         log = self.folder / "log.txt"
         if log.exists():
-            for line in log.read_text(errors="replace").splitlines():
-                if '"event":"status"' not in line:
-                    self.record.add("log", line)
+            lines = [
+                line
+                for line in log.read_text(errors="replace").splitlines()
+                if '"event":"status"' not in line
+            ]
+            for line in lines[:LOG_LINES]:
+                self.record.add("log", line)
+            if len(lines) > 2 * LOG_LINES:
+                self.record.add("log", f"... {len(lines) - 2 * LOG_LINES} lines left out")
+            for line in lines[max(LOG_LINES, len(lines) - LOG_LINES) :]:
+                self.record.add("log", line)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
