Match an office's line to the dial whose connection it came on, not by Call-ID alone

What callers saw: a call that stood twice.

Cause: Core._office_released and _office_answered looked a line up by office and Call-ID, which all dials of a dialogue at one office share, as it passes unchanged. The same lines ended a call that the next dial had established, and a call in transit that the exchange before cancels and sets up again.

Change: platform/ended_dials.py (pure). An office sends what concerns a set-up on its connection and cancels it when that closes; so a dial goes out on a connection on which no line about an earlier one with its Call-ID can arrive, and lines are told apart by that. Where it can't be told, the dial is released too and the release wait kept. A dial for which the office takes no other connection counts as not sent. Ended dials are kept for the longest deadline and 5 s, were 10 s. The trunk call server gives each dial a reference of its own; a test holds it.

--- /dev/null
+++ b/tests/test_ended_dials.py
@@ -0,0 +1,214 @@
+"""Lines from an office that are about an earlier dial with the same Call-ID: whose they are, and what they change."""
+
+import pytest
+from platform_world import World, invite
+
+from wellhitch.platform.ended_dials import MAX_REMEMBERED, EndedDials, LineOwner, line_owner
+from wellhitch.stand_ins.platform import Caller, PlatformOffice, bodyless_request
+
+A = "000000000000000a"
+SECOND = 1_000_000
+
+
+# ---- pure ----
+
+
+@pytest.mark.parametrize(
+    ("arrived_on", "sent_on", "earlier", "open_connections", "may_end_call", "owner"),
+    [
+        ("first", "first", (), {"first"}, True, LineOwner.CURRENT),
+        ("other", "first", (), {"first", "other"}, True, LineOwner.CURRENT),
+        ("second", "second", ("first",), {"first", "second"}, True, LineOwner.CURRENT),
+        ("first", "second", ("first",), {"first", "second"}, True, LineOwner.EARLIER),
+        ("first", "second", ("first",), {"first", "second"}, False, LineOwner.EARLIER),
+        # The connection of the earlier set-up is closed: the release of its call may come on any other, but no answer.
+        ("second", "second", ("first",), {"second"}, True, LineOwner.UNCERTAIN),
+        ("second", "second", ("first",), {"second"}, False, LineOwner.CURRENT),
+        # The connection of the current one is closed: the release of its call may come on that of the earlier one.
+        ("first", "second", ("first",), {"first"}, True, LineOwner.UNCERTAIN),
+        ("other", "second", ("first",), {"first", "second", "other"}, True, LineOwner.UNCERTAIN),
+        ("other", None, (None,), {"other"}, True, LineOwner.UNCERTAIN),
+    ],
+)
+def test_connection_tells_which_dial_a_line_is_about(
+    arrived_on: str,
+    sent_on: str | None,
+    earlier: tuple[str | None, ...],
+    open_connections: set[str],
+    may_end_call: bool,
+    owner: LineOwner,
+) -> None:
+    assert line_owner(arrived_on, sent_on, earlier, open_connections.__contains__, may_end_call) is owner
+
+
+def test_ended_dials_are_forgotten_by_age_and_by_number() -> None:
+    ended = EndedDials(10 * SECOND)
+    ended.add(A, "first", 0)
+    ended.add(A, "second", 9 * SECOND)
+    assert ended.connections(A) == {"first", "second"}
+    ended.ended_by_office(A, "first")
+    assert ended.connections(A) == {"second"} and A in ended
+    ended.add("b", "first", 15 * SECOND)
+    assert A in ended
+    ended.add("c", "first", 20 * SECOND)
+    assert A not in ended and not ended.connections(A) and "b" in ended
+    for number in range(2 * MAX_REMEMBERED):
+        ended.add(str(number), "first", 20 * SECOND)
+    assert len(ended) == MAX_REMEMBERED
+
+
+# ---- in virtual time ----
+
+
+def advised_invite(**over: str) -> bytes:
+    """A set-up for which office 2 is the advised tandem, where no direct dial is made."""
+    return invite(A, **over).replace(b"via:-1", b"via:2")
+
+
+def redial(world: World) -> tuple[Caller, PlatformOffice]:
+    """A call whose first dial was given up by this server, and whose second is out at the same office."""
+    office = world.offices[1]
+    office.answers = False
+    caller = world.caller()
+    caller.send(advised_invite())
+    assert world.run_until(0.9, lambda: len(office.lines_of_type("new")) == 2)
+    assert [line.cause for line in office.lines_of_type("down")] == [16]
+    return caller, office
+
+
+def dials(world: World) -> int:
+    return sum(len(office.lines_of_type("new")) for office in world.offices.values())
+
+
+def test_late_refusal_of_a_dial_that_was_given_up_does_not_end_the_next() -> None:
+    # Guards against a third dial beside the second: the office's refusal of the first was taken for that of the second.
+    world = World()
+    first_connection = world.offices[1].connections[0]
+    caller, office = redial(world)
+    office.end_call(A, 34, "turned_back", first_connection)
+    world.run(0.02)
+    assert dials(world) == 2 and A in world.core.pending_by_call_id
+    office.answer(A)
+    world.run(0.02)
+    assert caller.statuses(A) == [200] and len(office.lines_of_type("down")) == 1 and A in world.core.calls
+
+
+def test_late_answer_to_a_dial_that_was_given_up_is_not_taken_for_the_next() -> None:
+    # Guards against passing on the answer to the first dial, whose call the office ends with our release of it.
+    world = World()
+    first_connection = world.offices[1].connections[0]
+    caller, office = redial(world)
+    second_connection = office.connection_by_call_id[A]
+    office.connection_by_call_id[A] = first_connection
+    office.answer(A, "of the first")
+    world.run(0.02)
+    assert caller.statuses(A) == [] and len(office.lines_of_type("down")) == 1
+    office.connection_by_call_id[A] = second_connection
+    office.answer(A, "of the second")
+    world.run(0.02)
+    assert caller.statuses(A) == [200] and caller.received[-1][1].body == b"of the second"
+    assert len(office.lines_of_type("down")) == 1
+
+
+@pytest.mark.parametrize("cause", [16, 34, 41])
+def test_late_end_of_an_earlier_dial_does_not_end_the_established_call(cause: int) -> None:
+    # Guards against telling a caller that its call is over while it stands: the line was about the dial before.
+    world = World()
+    first_connection = world.offices[1].connections[0]
+    caller, office = redial(world)
+    office.answer(A)
+    world.run(0.02)
+    office.end_call(A, cause, connection=first_connection)
+    world.run(0.5)
+    assert caller.statuses(A) == [200] and not caller.byes(A) and A in world.core.calls
+    office.end_call(A, 16)
+    world.run(0.1)
+    assert [reason for _, reason in caller.byes(A)] == ["Q.850;cause=16"]
+
+
+def test_refusal_of_the_next_dial_is_told_from_that_of_the_earlier_one() -> None:
+    world = World()
+    first_connection = world.offices[1].connections[0]
+    _, office = redial(world)
+    assert office.connection_by_call_id[A] is not first_connection
+    office.end_call(A, 34, "no_circuit")
+    world.run(0.02)
+    assert dials(world) == 3 and world.offices[2].lines_of_type("new")
+
+
+def test_end_that_may_be_of_a_dial_lost_with_its_connection_is_followed_by_a_release() -> None:
+    # Guards against a third dial beside the second: after a reset, the release of the first dial's call may come on
+    # the connection of the second.
+    world = World()
+    office = world.offices[1]
+    office.answers = False
+    caller = world.caller()
+    caller.send(advised_invite())
+    assert world.run_until(0.2, lambda: A in office.connection_by_call_id)
+    office.reset_connections()
+    assert world.run_until(0.5, lambda: len(office.lines_of_type("new")) == 2)
+    assert len(office.lines_of_type("down")) == 1
+    office.end_call(A, 41)
+    world.run(0.09)
+    assert dials(world) == 2 and [line.cause for line in office.lines_of_type("down")] == [16, 16]
+    assert caller.statuses(A) == []
+
+
+def test_refusal_after_a_lost_connection_is_of_the_next_dial() -> None:
+    world = World()
+    office = world.offices[1]
+    office.answers = False
+    world.caller().send(advised_invite())
+    assert world.run_until(0.2, lambda: A in office.connection_by_call_id)
+    office.reset_connections()
+    assert world.run_until(0.5, lambda: len(office.lines_of_type("new")) == 2)
+    office.end_call(A, 34, "no_circuit")
+    world.run(0.02)
+    assert world.offices[2].lines_of_type("new") and len(office.lines_of_type("down")) == 1
+
+
+def test_call_in_transit_that_is_set_up_again_is_not_ended_by_its_earlier_refusal() -> None:
+    # Guards against the same mistake where the exchange before this one gave the call up and set it up again here.
+    world = World()
+    office = world.offices[1]
+    office.answers = False
+    first_connection = office.connections[0]
+    caller = world.caller()
+    caller.send(advised_invite(extra_attributes=";transit:1"))
+    world.run(0.1)
+    caller.send(bodyless_request("CANCEL", A))
+    world.run(0.2)
+    again = world.caller("10.9.0.2")
+    again.send(advised_invite(extra_attributes=";transit:1"))
+    world.run(0.1)
+    office.end_call(A, 34, "lines_busy", first_connection)
+    world.run(0.05)
+    assert again.statuses(A) == [] and A in world.core.pending_by_call_id
+    office.answer(A)
+    world.run(0.05)
+    assert again.statuses(A) == [200] and caller.statuses(A) == [487]
+
+
+@pytest.mark.parametrize("why", ["refused", "descriptors"])
+def test_office_that_takes_no_other_connection_is_not_dialled_again(why: str) -> None:
+    # The dial is then counted as not sent, and a route through the other office is used.
+    world = World(max_descriptors=256 if why == "refused" else 47)
+    office = world.offices[1]
+    office.answers = False
+    caller = world.caller()
+    if why == "refused":
+        office.stop_listening()
+    else:
+        pool = world.service.office_connections.pools[world.core.offices["s-00000001"]]
+        pool.open_another()
+        world.run(0.05)
+        assert len(pool.connected) == world.service.office_connections.max_per_office == 2
+        ended = world.core.offices["s-00000001"].ended_dials
+        for connection in pool.connected:
+            ended.add(A, connection, world.service.now())
+    caller.send(advised_invite())
+    assert world.run_until(0.9, lambda: bool(world.offices[2].lines_of_type("new")))
+    assert world.counts["ending.not_sent"] == 1 and not world.core.exchange.offices["s-00000001"].price
+    assert len(office.lines_of_type("new")) == (1 if why == "refused" else 0)
+    world.run(0.1)
+    assert caller.statuses(A) == [200]
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -200,6 +200,24 @@
     assert server.answers == ["forfeited"] and server.switch.counts["strays.Answer"] == 2
 
 
+def test_a_late_frame_about_a_lost_dial_does_not_end_the_next_one_at_the_same_office(
+    server: SwitchFixture,
+) -> None:
+    # Guards against two dials at once: each dial has a reference of its own, which a late frame names.
+    first = server.dial()
+    server.switch.dial_cut("o1", first.dial_ref, server.io.now)
+    server.advance(RELEASE_WAIT_US)
+    server.process_step()
+    second = server.sent_frames(frames.Setup)[-1]
+    assert second.dial_ref != first.dial_ref and second.dialogue == first.dialogue
+    server.switch.setup_rejected("o1", frames.Reject(first.dial_ref, "turned_back"), server.io.now)
+    server.switch.setup_answered("o1", frames.Answer(first.dial_ref), server.io.now)
+    assert server.answers == [] and len(server.sent_frames(frames.Setup)) == 2
+    server.switch.setup_answered("o1", frames.Answer(second.dial_ref), server.io.now)
+    server.process_step()
+    assert server.answers == ["stands"]
+
+
 def test_a_caller_that_hangs_up_as_its_dial_times_out_and_is_answered_gets_no_answer(
     server: SwitchFixture,
 ) -> None:
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -15,6 +15,7 @@
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
 from wellhitch.office_lines import codec as lines
+from wellhitch.platform.ended_dials import EndedDials, LineOwner, line_owner
 from wellhitch.platform.established import CAUSE_CUT, CAUSE_NORMAL, EstablishedCalls
 from wellhitch.platform.liveness import OfficeLiveness
 from wellhitch.platform.records import DialState, EstablishedCall, OfficeRecord, PendingCall, PendingDial
@@ -31,6 +32,9 @@
 # again.
 CALLS_REPORTED_WITHIN_US = 15_000_000
 
+# After the deadline of a dial, in which an office may still send a line about it.
+LATE_LINES_US = 5_000_000
+
 RESULT_BY_CAUSE = {
     34: ev.DialResult.FULL,
     17: ev.DialResult.FAULT,
@@ -83,6 +87,10 @@
         # Whether callers have had the time to report the calls from before the start.
         self._callers_reported_calls = False
         self._last_dialogue = 0
+        longest_deadline_us = max(
+            (traffic_class.deadline for traffic_class in configuration.traffic_classes), default=0
+        )
+        self._ended_dials_retention_us = longest_deadline_us + LATE_LINES_US
         self._traffic_classes = {
             traffic_class.name: traffic_class for traffic_class in configuration.traffic_classes
         }
@@ -365,7 +373,9 @@
                 now,
             )
             return
-        dial = pending.dial = PendingDial(pending, number, office, now)
+        dial = pending.dial = PendingDial(
+            pending, number, office, now, earlier_connections=office.ended_dials.connections(pending.call_id)
+        )
         office.dials[pending.call_id] = dial
         dial.timer = self.io.start_timer(
             max(0, timeout), lambda fired_at: self._dial_timed_out(dial, fired_at)
@@ -377,8 +387,11 @@
             max(1, timeout // 1000),
             pending.description,
         )
-        self.io.send_dial(dial, line)
-        if dial.connection is not None:
+        if not self.io.send_dial(dial, line):
+            self.counts["sends_without_connection"] += 1
+            self._forget_dial(dial)
+            self._dial_ended(dial, ev.DialResult.NOT_SENT, ev.ReleaseCause.NONE, ev.OfficeReport(), now)
+        elif dial.connection is not None:
             office.liveness.set_up_sent(now)
 
     def _dial_timed_out(self, dial: PendingDial, now: int) -> None:
@@ -394,7 +407,7 @@
         connection = dial.connection
         if self._forget_dial(dial) or connection is None:
             return
-        dial.office.remember_ended(dial.call.call_id, now)
+        dial.office.ended_dials.add(dial.call.call_id, connection, now)
         self.io.send_to_office(dial.office, lines.release(dial.call.call_id, CAUSE_NORMAL), connection)
 
     def _forget_dial(self, dial: PendingDial) -> bool:
@@ -416,9 +429,13 @@
             return
         self._forget_dial(dial)
         if sent and dial.office.state is not ev.OfficeState.GONE:
-            dial.office.remember_ended(dial.call.call_id, now)
+            dial.office.ended_dials.add(dial.call.call_id, dial.connection, now)
             self.io.send_to_office(dial.office, lines.release(dial.call.call_id, CAUSE_NORMAL), None)
-        result = ev.DialResult.RESET if sent else ev.DialResult.UNREACHABLE
+        if sent:
+            result = ev.DialResult.RESET
+        else:
+            # A dial that only needed another connection than those that are up says nothing about the office.
+            result = ev.DialResult.NOT_SENT if dial.earlier_connections else ev.DialResult.UNREACHABLE
         self._dial_ended(dial, result, ev.ReleaseCause.NONE, ev.OfficeReport(), now)
 
     def _dial_ended(
@@ -487,12 +504,24 @@
     ) -> None:
         dial = office.dials.get(line.call_id)
         if dial is None or dial.connection is None:
-            if line.call_id in office.ended_here and line.call_id not in office.calls:
+            if line.call_id not in office.ended_dials or line.call_id in office.calls:
+                self.counts["strays.up"] += 1
+            elif line.call_id in self.pending_by_call_id:
+                # The dial was released when it ended. Another release might overtake the next set-up with this Call-ID.
+                self.counts["late_answers_ignored"] += 1
+            else:
                 # The dial was ended here while its answer was on the way: the call is released at the office.
                 self.counts["late_answers_released"] += 1
-                self.io.send_to_office(office, lines.release(line.call_id, CAUSE_NORMAL), None)
-            else:
-                self.counts["strays.up"] += 1
+                self.io.send_to_office(office, lines.release(line.call_id, CAUSE_NORMAL), connection)
+            return
+        owner = self._line_owner(dial, connection, may_end_call=False)
+        if owner is LineOwner.EARLIER:
+            # The earlier dial was released when it ended. Another release would end the later one too.
+            self.counts["late_answers_ignored"] += 1
+            return
+        if owner is LineOwner.UNCERTAIN:
+            self.counts["answers_uncertain"] += 1
+            self._abandon_dial(dial, ev.DialResult.RESET, now)
             return
         body = None if line.description is None else line.description.encode("utf-8", "replace")
         if body is None or len(body) + len(dial.call.echo) + 256 > sip.MAX_MESSAGE_BYTES:
@@ -503,7 +532,16 @@
         self._forget_dial(dial)
         self._forget(pending)
         self.established.add(
-            EstablishedCall(pending.call_id, office, pending.connection, pending.id, dial.number, now),
+            EstablishedCall(
+                pending.call_id,
+                office,
+                pending.connection,
+                pending.id,
+                dial.number,
+                now,
+                dial.connection,
+                dial.earlier_connections,
+            ),
             connection,
         )
         self.counts["answer.stands"] += 1
@@ -526,17 +564,61 @@
     ) -> None:
         dial, call = office.dials.get(line.call_id), office.calls.get(line.call_id)
         q850_cause = CAUSE_CUT if line.cause is None else line.cause
-        if dial is not None and dial.connection is not None and q850_cause == CAUSE_NORMAL:
+        current = call if dial is None or dial.connection is None else dial
+        if current is None:
+            if line.call_id not in office.ended_dials:
+                self.established.unknown_released(line.call_id, q850_cause, now)
+            office.ended_dials.ended_by_office(line.call_id, connection)
+            return
+        owner = self._line_owner(current, connection, may_end_call=q850_cause not in RESULT_BY_CAUSE)
+        if owner is LineOwner.EARLIER:
+            self.counts["late_refusals_ignored"] += 1
+            self.io.log(
+                "late_refusal",
+                call=line.call_id,
+                endpoint=office.id,
+                cause=q850_cause,
+                note=line.fields.get("note"),
+            )
+            current.earlier_connections.discard(connection)
+            office.ended_dials.ended_by_office(line.call_id, connection)
+            return
+        certain = owner is LineOwner.CURRENT
+        if isinstance(current, PendingDial):
+            self._dial_released(current, line, q850_cause, certain, now)
+        elif certain:
+            self.established.released_by_office(current, connection, q850_cause, _report(line), now)
+        else:
+            self.established.released_by_office_or_earlier(
+                current, connection, q850_cause, _report(line), now
+            )
+
+    def _line_owner(
+        self, current: PendingDial | EstablishedCall, arrived_on: Hashable, may_end_call: bool
+    ) -> LineOwner:
+        """Whether a line is about the pending dial or established call of its Call-ID, or about an earlier dial."""
+        sent_on = current.connection if isinstance(current, PendingDial) else current.office_connection
+        return line_owner(arrived_on, sent_on, current.earlier_connections, self.io.is_open, may_end_call)
+
+    def _dial_released(
+        self, dial: PendingDial, line: lines.Line, q850_cause: int, certain: bool, now: int
+    ) -> None:
+        """An office released a pending dial, or if that is not `certain`, maybe the call of an earlier one. The office
+        may still have the dial then, and is sent a release too."""
+        if q850_cause == CAUSE_NORMAL:
             # The call was established and has ended normally, but its answer was lost, so the dialogue is over.
             # Dialling again would establish a second call with the same Call-ID while the caller is owed a release of
             # the first.
             self.counts["answers_lost"] += 1
-            self._forget_dial(dial)
+            if certain:
+                self._forget_dial(dial)
+            else:
+                self._end_dial(dial, now)
             pending = dial.call
             self._report_dial_end(
                 pending.id,
                 dial.number,
-                office.id,
+                dial.office.id,
                 ev.DialResult.ENDED_WELL,
                 ev.ReleaseCause.NONE,
                 _report(line),
@@ -544,15 +626,14 @@
                 True,
             )
             self._send_failure(pending, 500, "forfeited", "", now)
-        elif dial is not None and dial.connection is not None:
+        elif certain:
             self._forget_dial(dial)
             result = RESULT_BY_CAUSE.get(q850_cause, ev.DialResult.RESET)
             cause = RELEASE_CAUSE_BY_NOTE.get(str(line.fields.get("note", "")), ev.ReleaseCause.NONE)
             self._dial_ended(dial, result, cause, _report(line), now)
-        elif call is not None:
-            self.established.released_by_office(call, connection, q850_cause, _report(line), now)
-        elif line.call_id not in office.ended_here:
-            self.established.unknown_released(line.call_id, q850_cause, now)
+        else:
+            self.counts["releases_uncertain"] += 1
+            self._abandon_dial(dial, ev.DialResult.RESET, now)
 
     def office_refused_connection(self, office: OfficeRecord) -> None:
         """An office without a connection refused a new one."""
@@ -622,6 +703,7 @@
                 entry.address,
                 state,
                 started_at,
+                ended_dials=EndedDials(self._ended_dials_retention_us),
                 liveness=OfficeLiveness(tests_allowed, now),
             )
             self.io.log(
--- /dev/null
+++ b/wellhitch/platform/ended_dials.py
@@ -0,0 +1,95 @@
+"""Dials and calls at one office that this server ended, and which of them a line from the office is about. Pure.
+
+A Call-ID passes to the office unchanged. All dials of a call at one office share it, as do those of a call in transit
+that the exchange before this one cancelled and set up again, and a line from the office names the Call-ID alone. Only
+the connection tells whose line it is: an office sends what concerns a set-up on the connection of that set-up, and
+cancels the set-up when that connection closes. Hence no set-up goes out on a connection on which the office may still
+send a line about an earlier one with the same Call-ID.
+"""
+
+from collections.abc import Callable, Collection, Hashable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+MAX_REMEMBERED = 4096  # Call-IDs of one office
+
+
+class LineOwner(Enum):
+    """Which dial of a Call-ID a line from an office is about."""
+
+    CURRENT = auto()  # the one that is pending, or whose call is established
+    EARLIER = auto()  # one that this server ended
+    UNCERTAIN = auto()
+
+
+def line_owner(
+    arrived_on: Hashable,
+    sent_on: Hashable,
+    earlier: Collection[Hashable],
+    is_open: Callable[[Hashable], bool],
+    may_end_call: bool,
+) -> LineOwner:
+    """Which dial a line is about that arrived on one connection, where the current dial was sent on `sent_on` and
+    the `earlier` ones on others.
+
+    `may_end_call`: the line may be the release of a call that was answered, and not only an answer or a refusal. The
+    release of a call comes on any connection once the one of its set-up is closed."""
+    if not earlier:
+        return LineOwner.CURRENT
+    if arrived_on == sent_on:
+        earlier_call_possible = may_end_call and not all(map(is_open, earlier))
+        return LineOwner.UNCERTAIN if earlier_call_possible else LineOwner.CURRENT
+    if arrived_on in earlier and is_open(sent_on):
+        return LineOwner.EARLIER
+    return LineOwner.UNCERTAIN
+
+
+@dataclass(slots=True)
+class _Entry:
+    """One Call-ID: when its latest dial or call was ended, and the connections on which lines may still arrive."""
+
+    ended_at: int
+    connections: set[Hashable] = field(default_factory=set)
+
+
+class EndedDials:
+    """The Call-IDs whose dial or call at one office this server ended a short time ago."""
+
+    def __init__(self, retention_us: int) -> None:
+        self._retention_us = retention_us
+        self._entries: dict[str, _Entry] = {}  # the latest last
+
+    def __contains__(self, call_id: str) -> bool:
+        return call_id in self._entries
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(self, call_id: str, connection: Hashable, now: int) -> None:
+        """Remember a dial or call that this server ended; `connection` is the one of its set-up, None if unknown."""
+        entry = self._entries.pop(call_id, None) or _Entry(now)
+        entry.ended_at = now
+        entry.connections.add(connection)
+        self._entries[call_id] = entry
+        self._forget_old(now)
+
+    def ended_by_office(self, call_id: str, connection: Hashable) -> None:
+        """The office sent its end of an earlier dial on a connection, and no more about it will arrive there."""
+        entry = self._entries.get(call_id)
+        if entry is not None:
+            entry.connections.discard(connection)
+
+    def connections(self, call_id: str) -> set[Hashable]:
+        """The connections on which lines about earlier dials of a Call-ID may still arrive."""
+        entry = self._entries.get(call_id)
+        return set(entry.connections) if entry is not None else set()
+
+    def _forget_old(self, now: int) -> None:
+        while self._entries:
+            oldest = next(iter(self._entries))
+            if (
+                len(self._entries) <= MAX_REMEMBERED
+                and now - self._entries[oldest].ended_at <= self._retention_us
+            ):
+                return
+            del self._entries[oldest]
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -109,6 +109,14 @@
         result = DialResult.ENDED_WELL if normal else DialResult.RESET
         self._end(call, result, report, now, f"released by its endpoint, cause {cause}")
 
+    def released_by_office_or_earlier(
+        self, call: EstablishedCall, connection: Hashable, cause: int, report: OfficeReport, now: int
+    ) -> None:
+        """End a call whose release may be that of an earlier call with its Call-ID. The office may still hold the call
+        then, and is sent a release too."""
+        self._release_at_office(call, CAUSE_CUT, now)
+        self.released_by_office(call, connection, cause, report, now)
+
     def unknown_released(self, call_id: str, cause: int, now: int) -> None:
         """Remember the release of an unknown call: after a restart it may come before the caller reports the call."""
         self._counts["strays.down"] += 1
@@ -185,7 +193,7 @@
 
     def _release_at_office(self, call: EstablishedCall, cause: int, now: int) -> None:
         self._io.send_to_office(call.office, lines.release(call.call_id, cause), None)
-        call.office.remember_ended(call.call_id, now)
+        call.office.ended_dials.add(call.call_id, call.office_connection, now)
         call.office.remember_released(call.call_id, cause, now)
 
     def _cut_later(self, office: OfficeRecord, delay: int) -> None:
--- a/wellhitch/platform/offices.py
+++ b/wellhitch/platform/offices.py
@@ -160,23 +160,36 @@
 
     # -- sending --
 
-    def send_dial(self, dial: PendingDial, line: bytes) -> None:
-        """Send a set-up on the connection with the fewest unanswered dials, or keep it until one is up."""
-        best, fewest_dials = None, 1 << 30
-        for connection in self.connected:
-            if connection.writable and len(connection.dials) < fewest_dials:
-                best, fewest_dials = connection, len(connection.dials)
-                if not fewest_dials:
-                    break
+    def send_dial(self, dial: PendingDial, line: bytes) -> bool:
+        """Send a set-up on the connection with the fewest unanswered dials, or keep it until one is up. False where
+        every connection allowed is one of the dial's `earlier_connections`."""
+        best = self._least_used(dial)
         if best is None:
+            if not self.connecting and self._may_open_for(dial):
+                self._connect()
+            if not self.connecting:
+                return False
             timer = self.owner.loop.call_later(self.owner.connect_timeout_s, self._connect_timed_out, dial)
             self.waiting[dial] = line, timer
-            if not self.connecting:
-                self._connect()
-            return
+            return True
+        unanswered = len(best.dials)
         self._write(best, dial, line)
-        if fewest_dials and len(self.connected) + self.connecting < self.owner.max_per_office:
+        if unanswered and len(self.connected) + self.connecting < self.owner.max_per_office:
             self._connect()
+        return True
+
+    def _least_used(self, dial: PendingDial) -> OfficeConnection | None:
+        """The connection with the fewest unanswered dials on which the dial may be sent."""
+        usable = (
+            connection
+            for connection in self.connected
+            if connection.writable and connection not in dial.earlier_connections
+        )
+        return min(usable, key=lambda connection: len(connection.dials), default=None)
+
+    def _may_open_for(self, dial: PendingDial) -> bool:
+        """Whether a connection may be opened for a dial that no open one can carry."""
+        return not dial.earlier_connections or len(self.connected) < self.owner.max_per_office
 
     def _write(self, connection: OfficeConnection, dial: PendingDial, line: bytes) -> None:
         dial.connection = connection
@@ -274,12 +287,15 @@
             why=failure.detail,
             left=len(self.connected),
         )
-        if self.connected or self.connecting:
+        if self.connecting:
             return
         for dial, (_, timer) in list(self.waiting.items()):
-            timer.cancel()
-            self.waiting.pop(dial, None)
-            self.owner.events.dial_connection_lost(dial, False)
+            if not self.connected or dial.earlier_connections:
+                timer.cancel()
+                self.waiting.pop(dial, None)
+                self.owner.events.dial_connection_lost(dial, False)
+        if self.connected:
+            return
         if failure.refused:
             self.owner.events.office_refused_connection(self.office)
         self._retry_later()
--- a/wellhitch/platform/records.py
+++ b/wellhitch/platform/records.py
@@ -10,11 +10,11 @@
 
 from wellhitch.interface.events import OfficeState
 from wellhitch.net.transport import Timer
+from wellhitch.platform.ended_dials import EndedDials
 from wellhitch.platform.liveness import OfficeLiveness
 
-# How long an office record remembers call IDs whose dial or call this server ended: longer than any deadline here.
-REMEMBERED_US = 10_000_000
-MAX_REMEMBERED = 4096  # such call IDs of one office, and releases of unknown calls
+REMEMBERED_US = 10_000_000  # releases of established calls, and of unknown ones
+MAX_REMEMBERED = 4096  # such releases, of one office and of unknown calls
 
 
 class DialState(Enum):
@@ -35,11 +35,10 @@
     started_at: int | None
     dials: dict[str, PendingDial] = field(default_factory=dict)
     calls: dict[str, EstablishedCall] = field(default_factory=dict)
-    # Call IDs whose dial or call this server ended, and when.
-    ended_here: dict[str, int] = field(default_factory=dict)
     # Established calls that this server released at the office: cause and time.
     released: dict[str, tuple[int, int]] = field(default_factory=dict)
     cut_timer: Timer | None = None
+    ended_dials: EndedDials = field(kw_only=True)
     liveness: OfficeLiveness = field(kw_only=True)
 
     def remember_released(self, call_id: str, cause: int, now: int) -> None:
@@ -51,16 +50,6 @@
                 break
             del self.released[oldest]
 
-    def remember_ended(self, call_id: str, now: int) -> None:
-        """Remember a call ID that this server ended, to recognize a late answer or release from the office."""
-        self.ended_here.pop(call_id, None)
-        self.ended_here[call_id] = now
-        while self.ended_here:
-            oldest = next(iter(self.ended_here))
-            if len(self.ended_here) <= MAX_REMEMBERED and now - self.ended_here[oldest] <= REMEMBERED_US:
-                break
-            del self.ended_here[oldest]
-
 
 @dataclass(slots=True, eq=False)
 class PendingCall:
@@ -82,7 +71,8 @@
 @dataclass(slots=True, eq=False)
 class PendingDial:
     """One attempt to set a call up at an office. `connection` is the office's connection on which the set-up was sent;
-    None while it waits for one."""
+    None while it waits for one. It is none of `earlier_connections`, on which lines about earlier dials of the same
+    Call-ID may still arrive."""
 
     call: PendingCall
     number: int
@@ -91,6 +81,7 @@
     state: DialState = DialState.PENDING
     timer: Timer | None = None
     connection: object | None = None
+    earlier_connections: set[Hashable] = field(default_factory=set)
 
     def end(self) -> None:
         """Mark the dial as ended. Raises RuntimeError if it has ended already, which is a defect of the server."""
@@ -102,7 +93,8 @@
 @dataclass(slots=True, eq=False)
 class EstablishedCall:
     """A call that was answered, at `established_at`. `dialogue` and `dial_number` identify its dial to the decision
-    module; `dialogue` is None for a call from before a restart. `connection` is the caller's."""
+    module; `dialogue` is None for a call from before a restart. `connection` is the caller's. `office_connection` is
+    the one of its set-up, None for a call from before a restart; `earlier_connections` are as in `PendingDial`."""
 
     call_id: str
     office: OfficeRecord
@@ -110,3 +102,5 @@
     dialogue: int | None
     dial_number: int
     established_at: int
+    office_connection: Hashable = None
+    earlier_connections: set[Hashable] = field(default_factory=set)
--- a/wellhitch/platform/server_io.py
+++ b/wellhitch/platform/server_io.py
@@ -16,13 +16,16 @@
     def close_caller_connection(self, connection: Hashable) -> None:
         """Close a caller's connection once its written data is sent; `Core.caller_closed` follows."""
 
-    def send_dial(self, dial: PendingDial, line: bytes) -> None:
-        """Send a set-up on a connection to the office, now or when one is up; `Core.dial_connection_lost` follows where
-        none comes up."""
+    def send_dial(self, dial: PendingDial, line: bytes) -> bool:
+        """Send a set-up on a connection to the office that is none of the dial's `earlier_connections`, now or when one
+        is up; `Core.dial_connection_lost` follows where none comes up. False where no more may be opened."""
 
     def withdraw_dial(self, dial: PendingDial) -> bool:
         """Forget a dial that has ended; True where its set-up still waited for a connection and was never sent."""
 
+    def is_open(self, connection: Hashable) -> bool:
+        """Whether a connection to an office is open."""
+
     def send_to_office(self, office: OfficeRecord, line: bytes, preferred: object | None) -> None:
         """Send on the connection `preferred` if it is up, else on any other, else on the next that comes up."""
 
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -256,15 +256,19 @@
         if isinstance(connection, CallerConnection):
             connection.close("refused request")
 
-    def send_dial(self, dial: PendingDial, line: bytes) -> None:
+    def send_dial(self, dial: PendingDial, line: bytes) -> bool:
         """See `ServerIO`."""
-        self.office_connections.pool(dial.office).send_dial(dial, line)
+        return self.office_connections.pool(dial.office).send_dial(dial, line)
 
     def withdraw_dial(self, dial: PendingDial) -> bool:
         """See `ServerIO`."""
         pool = self.office_connections.pools.get(dial.office)
         return pool is not None and pool.withdraw_dial(dial)
 
+    def is_open(self, connection: Hashable) -> bool:
+        """See `ServerIO`."""
+        return isinstance(connection, OfficeConnection) and connection.transport is not None
+
     def send_to_office(self, office: OfficeRecord, line: bytes, preferred: object | None) -> None:
         """See `ServerIO`."""
         self.office_connections.pool(office).send(line, preferred)
