Keep a limited number of calls that callers report from before the start

Cause: EstablishedCalls.reported_by_caller registered every report, and kept the closed connection it came on. Only an office ends such a call, and for one that the office never had no end comes.

Evidence: 20,000 reports in virtual time leave 20,000 records; on a real process `standing` grows with the reports by some 250 bytes each and nothing falls when the clients stop.

Change: platform/reported_calls.py (pure) keeps 4,096. At the limit a call is forgotten: of closed connections first, the largest reporter's before all, whole reporters one after the other; then of the open connection with the most. Sound callers keep a connection with a call on it. Once something was forgotten, an office's release of an unknown call is told to the callers at once, since a release may travel on any of their connections.

--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -293,6 +293,7 @@
         for pending in list(self.pending_by_connection.get(connection, {}).values()):
             self._cancel(pending, now)
         self.pending_by_connection.pop(connection, None)
+        self.established.caller_connection_closed(connection)
         self.releases.connection_closed(connection, now)
 
     def pending_on(self, connection: Hashable) -> int:
@@ -580,7 +581,7 @@
                 cause=q850_cause,
                 note=line.fields.get("note"),
             )
-            current.earlier_connections.discard(connection)
+            current.earlier_connections -= {connection}
             office.ended_dials.ended_by_office(line.call_id, connection)
             return
         certain = owner is LineOwner.CURRENT
--- a/wellhitch/platform/ended_dials.py
+++ b/wellhitch/platform/ended_dials.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable, Collection, Hashable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
 MAX_REMEMBERED = 4096  # Call-IDs of one office
@@ -49,7 +49,7 @@
     """One Call-ID: when its latest dial or call was ended, and the connections on which lines may still arrive."""
 
     ended_at: int
-    connections: set[Hashable] = field(default_factory=set)
+    connections: frozenset[Hashable]
 
 
 class EndedDials:
@@ -67,22 +67,21 @@
 
     def add(self, call_id: str, connection: Hashable, now: int) -> None:
         """Remember a dial or call that this server ended; `connection` is the one of its set-up, None if unknown."""
-        entry = self._entries.pop(call_id, None) or _Entry(now)
-        entry.ended_at = now
-        entry.connections.add(connection)
-        self._entries[call_id] = entry
+        earlier = self._entries.pop(call_id, None)
+        connections = frozenset((connection,)) if earlier is None else earlier.connections | {connection}
+        self._entries[call_id] = _Entry(now, connections)
         self._forget_old(now)
 
     def ended_by_office(self, call_id: str, connection: Hashable) -> None:
         """The office sent its end of an earlier dial on a connection, and no more about it will arrive there."""
         entry = self._entries.get(call_id)
         if entry is not None:
-            entry.connections.discard(connection)
+            entry.connections -= {connection}
 
-    def connections(self, call_id: str) -> set[Hashable]:
+    def connections(self, call_id: str) -> frozenset[Hashable]:
         """The connections on which lines about earlier dials of a Call-ID may still arrive."""
         entry = self._entries.get(call_id)
-        return set(entry.connections) if entry is not None else set()
+        return entry.connections if entry is not None else frozenset()
 
     def _forget_old(self, now: int) -> None:
         while self._entries:
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -14,6 +14,7 @@
 from wellhitch.platform.liveness import CallsLost, LivenessTest
 from wellhitch.platform.records import MAX_REMEMBERED, REMEMBERED_US, EstablishedCall, OfficeRecord
 from wellhitch.platform.releases import ReleaseQueue
+from wellhitch.platform.reported_calls import ReportedCalls
 from wellhitch.platform.server_io import ServerIO
 from wellhitch.sip import codec as sip
 
@@ -45,6 +46,8 @@
         self.releases = ReleaseQueue(io.send_to_caller, io.start_timer, io.log)
         self._io, self._offices, self._counts = io, offices, counts
         self._on_ended, self._on_unused = on_ended, on_unused
+        # Of `calls`, those from before this server's start.
+        self.reported = ReportedCalls()
         # Calls for each caller's connection on which their set-up came.
         self._by_connection: Counter[Hashable] = Counter()
         self._released_unknown: dict[str, tuple[int, int]] = {}  # cause and time
@@ -87,11 +90,30 @@
         call = EstablishedCall(call_id, office, connection, None, 0, ESTABLISHED_BEFORE_START)
         self._register(call)
         office.liveness.call_reported(call, now)
+        forgotten = self.reported.add(call_id, connection)
+        if forgotten is not None:
+            self._forget_reported(self.calls[forgotten])
+        if not office.calls:
+            return
         if office.state is OfficeState.GONE:
             self.office_gone(office)
         else:
             self._io.keep_connection(office)
 
+    def caller_connection_closed(self, connection: Hashable) -> None:
+        """A caller's connection is gone. The calls reported on it no longer refer to it."""
+        for call_id in self.reported.connection_closed(connection):
+            call = self.calls[call_id]
+            self._remove_from_connection(call)
+            call.connection = None
+
+    def _forget_reported(self, call: EstablishedCall) -> None:
+        """Forget a reported call at the limit. Its caller is not told, as the call may still be established; the end of
+        one that is comes as the release of an unknown call."""
+        self._counts["stands_forgotten"] += 1
+        self._remove(call)
+        self._on_unused(call.office)
+
     # ---- ends ----
 
     def released_by_caller(self, call: EstablishedCall, now: int) -> None:
@@ -118,8 +140,11 @@
         self.released_by_office(call, connection, cause, report, now)
 
     def unknown_released(self, call_id: str, cause: int, now: int) -> None:
-        """Remember the release of an unknown call: after a restart it may come before the caller reports the call."""
+        """Remember the release of an unknown call: after a restart it may come before the caller reports the call. Once
+        reported calls have been forgotten, it may be of one of these, and the callers are told at once."""
         self._counts["strays.down"] += 1
+        if self._counts["stands_forgotten"]:
+            self.release_to_caller(call_id, cause, None, now)
         remembered = self._released_unknown
         remembered[call_id] = (cause, now)
         while remembered:
@@ -181,15 +206,25 @@
     def _end(
         self, call: EstablishedCall, result: DialResult, report: OfficeReport, now: int, why: str
     ) -> None:
-        if self.calls.pop(call.call_id, None) is None:
+        if call.call_id not in self.calls:
             return  # ended already; each end is reported once
+        self._remove(call)
+        self._io.log("call_over", call=call.call_id, endpoint=call.office.id, why=why)
+        self._on_ended(call, result, report, now)
+
+    def _remove(self, call: EstablishedCall) -> None:
+        del self.calls[call.call_id]
         call.office.calls.pop(call.call_id, None)
         call.office.liveness.call_ended(call)
+        self._remove_from_connection(call)
+        self.reported.remove(call.call_id)
+
+    def _remove_from_connection(self, call: EstablishedCall) -> None:
+        if call.connection is None:
+            return
         self._by_connection[call.connection] -= 1
         if self._by_connection[call.connection] <= 0:
             del self._by_connection[call.connection]
-        self._io.log("call_over", call=call.call_id, endpoint=call.office.id, why=why)
-        self._on_ended(call, result, report, now)
 
     def _release_at_office(self, call: EstablishedCall, cause: int, now: int) -> None:
         self._io.send_to_office(call.office, lines.release(call.call_id, cause), None)
--- a/wellhitch/platform/records.py
+++ b/wellhitch/platform/records.py
@@ -81,7 +81,7 @@
     state: DialState = DialState.PENDING
     timer: Timer | None = None
     connection: object | None = None
-    earlier_connections: set[Hashable] = field(default_factory=set)
+    earlier_connections: frozenset[Hashable] = frozenset()
 
     def end(self) -> None:
         """Mark the dial as ended. Raises RuntimeError if it has ended already, which is a defect of the server."""
@@ -93,7 +93,8 @@
 @dataclass(slots=True, eq=False)
 class EstablishedCall:
     """A call that was answered, at `established_at`. `dialogue` and `dial_number` identify its dial to the decision
-    module; `dialogue` is None for a call from before a restart. `connection` is the caller's. `office_connection` is
+    module; `dialogue` is None for a call from before a restart. `connection` is the caller's, None once that of a call
+    from before a restart has closed. `office_connection` is
     the one of its set-up, None for a call from before a restart; `earlier_connections` are as in `PendingDial`."""
 
     call_id: str
@@ -103,4 +104,4 @@
     dial_number: int
     established_at: int
     office_connection: Hashable = None
-    earlier_connections: set[Hashable] = field(default_factory=set)
+    earlier_connections: frozenset[Hashable] = frozenset()
