Limit the numbers called that the decision module remembers

Both call servers.

Cause: Exchange.called_numbers had no limit but the minute.

Change: 16,384 numbers, those called last. The busiest call server gets 190 calls a second, 11,400 a minute, so that usual traffic never reaches it and no decision on it changes.

The new test fails without the change.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -446,6 +446,27 @@
     assert rules.best_route(exchange, dialogue, CHEAP.target_latency + 1) is None
 
 
+def test_numbers_called_are_kept_up_to_a_limit_those_called_last(exchange, new_dialogue):
+    # Guards against growing until the memory limit: clients that call a new number each time added one a request.
+    def call(key):
+        event = DialogueArrived(len(exchange.dialogues), "cheap", 0, key, SECOND, 1, None, False, False)
+        rules.dialogue_arrived(exchange, event, SECOND)
+
+    call("called again")
+    call("called once")
+    for n in range(rules.MAX_CALLED_NUMBERS - 1):
+        call(f"new {n}")
+        if n == 0:
+            call("called again")
+    assert len(exchange.called_numbers) == rules.MAX_CALLED_NUMBERS
+    assert "called again" in exchange.called_numbers and "called once" not in exchange.called_numbers
+    call("the last")
+    assert list(exchange.called_numbers)[-1] == "the last"
+    assert (
+        len(exchange.called_numbers) == rules.MAX_CALLED_NUMBERS and "called again" in exchange.called_numbers
+    )
+
+
 def test_unmarked_redial_is_recognised_by_the_called_number():
     called = rules.CalledNumber()
     assert rules.is_first_try(called, CHEAP, False, False, 0)
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -27,6 +27,8 @@
 SECOND_US = 1_000_000
 # Between two price steps. The paper gives no figure, and one second reacted too slowly.
 INTERVAL_US = SECOND_US // 4
+# A call server gets a few hundred dialogues a second at most and remembers a number for a minute.
+MAX_CALLED_NUMBERS = 16_384
 INTERVAL_TIMER = 0  # token of the interval timer; the token of a dialogue's timer is its id + 1
 
 
@@ -157,7 +159,7 @@
     traffic_class = exchange.traffic_classes[event.traffic_class]
     called_number = exchange.called_numbers.get(event.called_number or "") or CalledNumber()
     if event.called_number and not event.transit:
-        exchange.called_numbers[event.called_number] = called_number
+        remember_called_number(exchange, event.called_number, called_number)
         if is_first_try(
             called_number, traffic_class, event.is_redial, exchange.permissions.callers_mark_redials, now
         ):
@@ -182,6 +184,14 @@
     return route_dialogue(exchange, dialogue, now)
 
 
+def remember_called_number(exchange: Exchange, key: str, called_number: CalledNumber) -> None:
+    """Move a number to the end of the numbers called, and drop the one not called for longest over the limit."""
+    exchange.called_numbers.pop(key, None)
+    exchange.called_numbers[key] = called_number
+    if len(exchange.called_numbers) > MAX_CALLED_NUMBERS:
+        del exchange.called_numbers[next(iter(exchange.called_numbers))]
+
+
 def is_first_try(
     called_number: CalledNumber, traffic_class: TrafficClass, is_redial: bool, redials_marked: bool, now: int
 ) -> bool:
