Limit the dials that are remembered as ended for all offices together

Need: kept up to 4,096 entries for each office, of some 450 bytes: with 48 offices, 88 MB in the worst case, from set-ups that bad clients take back at once.

Change: one table of 16,384 entries by office and Call-ID, with less in each. A pending call also keeps its own ended dials, so that a flood of cancelled set-ups can't make it forget on which connections late lines about them may arrive.

Measured: the limit is held by a test with 48 offices.

--- a/tests/test_ended_dials.py
+++ b/tests/test_ended_dials.py
@@ -3,7 +3,7 @@
 import pytest
 from platform_world import World, invite
 
-from wellhitch.platform.ended_dials import MAX_REMEMBERED, EndedDials, LineOwner, line_owner
+from wellhitch.platform.ended_dials import MAX_ENDED_DIALS, EndedDials, LineOwner, line_owner
 from wellhitch.stand_ins.platform import Caller, PlatformOffice, bodyless_request
 
 A = "000000000000000a"
@@ -43,18 +43,21 @@
 
 def test_ended_dials_are_forgotten_by_age_and_by_number() -> None:
     ended = EndedDials(10 * SECOND)
-    ended.add(A, "first", 0)
-    ended.add(A, "second", 9 * SECOND)
-    assert ended.connections(A) == {"first", "second"}
-    ended.ended_by_office(A, "first")
-    assert ended.connections(A) == {"second"} and A in ended
-    ended.add("b", "first", 15 * SECOND)
-    assert A in ended
-    ended.add("c", "first", 20 * SECOND)
-    assert A not in ended and not ended.connections(A) and "b" in ended
-    for number in range(2 * MAX_REMEMBERED):
-        ended.add(str(number), "first", 20 * SECOND)
-    assert len(ended) == MAX_REMEMBERED
+    ended.add("office", A, "first", 0)
+    ended.add("office", A, "second", 9 * SECOND)
+    ended.add("office", A, "second", 9 * SECOND)
+    assert ended.connections("office", A) == {"first", "second"} and not ended.connections("other", A)
+    ended.ended_by_office("office", A, "first")
+    assert ended.connections("office", A) == {"second"} and ended.contains("office", A)
+    ended.add("office", "b", "first", 15 * SECOND)
+    assert ended.contains("office", A)
+    ended.add("office", "c", "first", 20 * SECOND)
+    assert not ended.contains("office", A) and not ended.connections("office", A)
+    assert ended.contains("office", "b")
+    # Guards against a limit for each office: with many offices, cancelled set-ups filled the memory.
+    for number in range(2 * MAX_ENDED_DIALS):
+        ended.add(f"office {number % 48}", str(number), "first", 20 * SECOND)
+    assert len(ended) == MAX_ENDED_DIALS
 
 
 # ---- in virtual time ----
@@ -203,12 +206,22 @@
         pool.open_another()
         world.run(0.05)
         assert len(pool.connected) == world.service.office_connections.max_per_office == 2
-        ended = world.core.offices["s-00000001"].ended_dials
         for connection in pool.connected:
-            ended.add(A, connection, world.service.now())
+            world.core.ended_dials.add("s-00000001", A, connection, world.service.now())
     caller.send(advised_invite())
     assert world.run_until(0.9, lambda: bool(world.offices[2].lines_of_type("new")))
     assert world.counts["ending.not_sent"] == 1 and not world.core.exchange.offices["s-00000001"].price
     assert len(office.lines_of_type("new")) == (1 if why == "refused" else 0)
     world.run(0.1)
     assert caller.statuses(A) == [200]
+
+
+def test_earlier_dial_of_a_pending_call_is_remembered_amid_a_flood_of_cancelled_ones() -> None:
+    world = World()
+    first_connection = world.offices[1].connections[0]
+    world.core.ended_dials._limit = 0
+    caller, office = redial(world)
+    assert not len(world.core.ended_dials)
+    office.end_call(A, 34, "turned_back", first_connection)
+    world.run(0.02)
+    assert dials(world) == 2 and A in world.core.pending_by_call_id
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -77,8 +77,12 @@
         self.pending_by_call_id: dict[str, PendingCall] = {}
         self.pending_by_connection: dict[Hashable, dict[str, PendingCall]] = {}
         self.offices: dict[str, OfficeRecord] = {}
+        longest_deadline_us = max(
+            (traffic_class.deadline for traffic_class in configuration.traffic_classes), default=0
+        )
+        self.ended_dials = EndedDials(longest_deadline_us + LATE_LINES_US)
         self.established = EstablishedCalls(
-            io, self.offices, self.counts, self._call_ended, self._release_if_unused
+            io, self.offices, self.counts, self.ended_dials, self._call_ended, self._release_if_unused
         )
         self.calls, self.releases = self.established.calls, self.established.releases
         # Health checks fail, so that the front end of the callers stops using this call server.
@@ -87,10 +91,6 @@
         # Whether callers have had the time to report the calls from before the start.
         self._callers_reported_calls = False
         self._last_dialogue = 0
-        longest_deadline_us = max(
-            (traffic_class.deadline for traffic_class in configuration.traffic_classes), default=0
-        )
-        self._ended_dials_retention_us = longest_deadline_us + LATE_LINES_US
         self._traffic_classes = {
             traffic_class.name: traffic_class for traffic_class in configuration.traffic_classes
         }
@@ -375,7 +375,7 @@
             )
             return
         dial = pending.dial = PendingDial(
-            pending, number, office, now, earlier_connections=office.ended_dials.connections(pending.call_id)
+            pending, number, office, now, earlier_connections=self._earlier_connections(pending, office)
         )
         office.dials[pending.call_id] = dial
         dial.timer = self.io.start_timer(
@@ -408,7 +408,7 @@
         connection = dial.connection
         if self._forget_dial(dial) or connection is None:
             return
-        dial.office.ended_dials.add(dial.call.call_id, connection, now)
+        self._remember_ended(dial, now)
         self.io.send_to_office(dial.office, lines.release(dial.call.call_id, CAUSE_NORMAL), connection)
 
     def _forget_dial(self, dial: PendingDial) -> bool:
@@ -422,6 +422,15 @@
             del dial.office.dials[dial.call.call_id]
         return self.io.withdraw_dial(dial)
 
+    def _remember_ended(self, dial: PendingDial, now: int) -> None:
+        self.ended_dials.add(dial.office.id, dial.call.call_id, dial.connection, now)
+        dial.call.ended_dials.append(dial)
+
+    def _earlier_connections(self, pending: PendingCall, office: OfficeRecord) -> frozenset[Hashable]:
+        """The connections on which lines about earlier dials of a call at an office may still arrive."""
+        own = {dial.connection for dial in pending.ended_dials if dial.office is office}
+        return self.ended_dials.connections(office.id, pending.call_id) | own
+
     def dial_connection_lost(self, dial: PendingDial, sent: bool, now: int) -> None:
         """The connection of a dial was lost, or none came up, in which case the set-up was not `sent` and has had no
         effect. If it was sent, its answer may have been lost with the connection: the call that may be established is
@@ -430,7 +439,7 @@
             return
         self._forget_dial(dial)
         if sent and dial.office.state is not ev.OfficeState.GONE:
-            dial.office.ended_dials.add(dial.call.call_id, dial.connection, now)
+            self._remember_ended(dial, now)
             self.io.send_to_office(dial.office, lines.release(dial.call.call_id, CAUSE_NORMAL), None)
         if sent:
             result = ev.DialResult.RESET
@@ -505,7 +514,7 @@
     ) -> None:
         dial = office.dials.get(line.call_id)
         if dial is None or dial.connection is None:
-            if line.call_id not in office.ended_dials or line.call_id in office.calls:
+            if not self.ended_dials.contains(office.id, line.call_id) or line.call_id in office.calls:
                 self.counts["strays.up"] += 1
             elif line.call_id in self.pending_by_call_id:
                 # The dial was released when it ended. Another release might overtake the next set-up with this Call-ID.
@@ -567,9 +576,9 @@
         q850_cause = CAUSE_CUT if line.cause is None else line.cause
         current = call if dial is None or dial.connection is None else dial
         if current is None:
-            if line.call_id not in office.ended_dials:
+            if not self.ended_dials.contains(office.id, line.call_id):
                 self.established.unknown_released(line.call_id, q850_cause, now)
-            office.ended_dials.ended_by_office(line.call_id, connection)
+            self.ended_dials.ended_by_office(office.id, line.call_id, connection)
             return
         owner = self._line_owner(current, connection, may_end_call=q850_cause not in RESULT_BY_CAUSE)
         if owner is LineOwner.EARLIER:
@@ -582,7 +591,7 @@
                 note=line.fields.get("note"),
             )
             current.earlier_connections -= {connection}
-            office.ended_dials.ended_by_office(line.call_id, connection)
+            self.ended_dials.ended_by_office(office.id, line.call_id, connection)
             return
         certain = owner is LineOwner.CURRENT
         if isinstance(current, PendingDial):
@@ -704,7 +713,6 @@
                 entry.address,
                 state,
                 started_at,
-                ended_dials=EndedDials(self._ended_dials_retention_us),
                 liveness=OfficeLiveness(tests_allowed, now),
             )
             self.io.log(
--- a/wellhitch/platform/ended_dials.py
+++ b/wellhitch/platform/ended_dials.py
@@ -1,4 +1,4 @@
-"""Dials and calls at one office that this server ended, and which of them a line from the office is about. Pure.
+"""Dials and calls at offices that this server ended, and which of them a line from an office is about. Pure.
 
 A Call-ID passes to the office unchanged. All dials of a call at one office share it, as do those of a call in transit
 that the exchange before this one cancelled and set up again, and a line from the office names the Call-ID alone. Only
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-MAX_REMEMBERED = 4096  # Call-IDs of one office
+# At all offices together. Callers cancel a few set-ups a second; bad clients could fill the memory otherwise.
+MAX_ENDED_DIALS = 16_384
 
 
 class LineOwner(Enum):
@@ -46,49 +47,49 @@
 
 @dataclass(slots=True)
 class _Entry:
-    """One Call-ID: when its latest dial or call was ended, and the connections on which lines may still arrive."""
+    """One Call-ID at one office: when its latest dial or call was ended, and the connections on which lines about it
+    may still arrive, each once."""
 
     ended_at: int
-    connections: frozenset[Hashable]
+    connections: tuple[Hashable, ...]
 
 
 class EndedDials:
-    """The Call-IDs whose dial or call at one office this server ended a short time ago."""
+    """The Call-IDs whose dial or call at an office this server ended a short time ago."""
 
-    def __init__(self, retention_us: int) -> None:
-        self._retention_us = retention_us
-        self._entries: dict[str, _Entry] = {}  # the latest last
-
-    def __contains__(self, call_id: str) -> bool:
-        return call_id in self._entries
+    def __init__(self, retention_us: int, limit: int = MAX_ENDED_DIALS) -> None:
+        self._retention_us, self._limit = retention_us, limit
+        self._entries: dict[tuple[str, str], _Entry] = {}  # by office and Call-ID, the latest last
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def add(self, call_id: str, connection: Hashable, now: int) -> None:
+    def contains(self, office_id: str, call_id: str) -> bool:
+        """Whether a dial or call with this Call-ID was ended at an office."""
+        return (office_id, call_id) in self._entries
+
+    def add(self, office_id: str, call_id: str, connection: Hashable, now: int) -> None:
         """Remember a dial or call that this server ended; `connection` is the one of its set-up, None if unknown."""
-        earlier = self._entries.pop(call_id, None)
-        connections = frozenset((connection,)) if earlier is None else earlier.connections | {connection}
-        self._entries[call_id] = _Entry(now, connections)
+        earlier = self._entries.pop((office_id, call_id), None)
+        others = () if earlier is None else earlier.connections
+        connections = others if connection in others else (*others, connection)
+        self._entries[office_id, call_id] = _Entry(now, connections)
         self._forget_old(now)
 
-    def ended_by_office(self, call_id: str, connection: Hashable) -> None:
+    def ended_by_office(self, office_id: str, call_id: str, connection: Hashable) -> None:
         """The office sent its end of an earlier dial on a connection, and no more about it will arrive there."""
-        entry = self._entries.get(call_id)
+        entry = self._entries.get((office_id, call_id))
         if entry is not None:
-            entry.connections -= {connection}
+            entry.connections = tuple(other for other in entry.connections if other != connection)
 
-    def connections(self, call_id: str) -> frozenset[Hashable]:
+    def connections(self, office_id: str, call_id: str) -> frozenset[Hashable]:
         """The connections on which lines about earlier dials of a Call-ID may still arrive."""
-        entry = self._entries.get(call_id)
-        return entry.connections if entry is not None else frozenset()
+        entry = self._entries.get((office_id, call_id))
+        return frozenset(entry.connections) if entry is not None else frozenset()
 
     def _forget_old(self, now: int) -> None:
         while self._entries:
-            oldest = next(iter(self._entries))
-            if (
-                len(self._entries) <= MAX_REMEMBERED
-                and now - self._entries[oldest].ended_at <= self._retention_us
-            ):
+            oldest, entry = next(iter(self._entries.items()))
+            if len(self._entries) <= self._limit and now - entry.ended_at <= self._retention_us:
                 return
             del self._entries[oldest]
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -11,6 +11,7 @@
 from wellhitch.interface.events import DialResult, OfficeReport, OfficeState
 from wellhitch.net.transport import Timer
 from wellhitch.office_lines import codec as lines
+from wellhitch.platform.ended_dials import EndedDials
 from wellhitch.platform.liveness import CallsLost, LivenessTest
 from wellhitch.platform.records import MAX_REMEMBERED, REMEMBERED_US, EstablishedCall, OfficeRecord
 from wellhitch.platform.releases import ReleaseQueue
@@ -38,6 +39,7 @@
         io: ServerIO,
         offices: dict[str, OfficeRecord],
         counts: Counter[str],
+        ended_dials: EndedDials,
         on_ended: Callable[[EstablishedCall, DialResult, OfficeReport, int], None],
         on_unused: Callable[[OfficeRecord], None],
     ) -> None:
@@ -45,6 +47,7 @@
         self.calls: dict[str, EstablishedCall] = {}
         self.releases = ReleaseQueue(io.send_to_caller, io.start_timer, io.log)
         self._io, self._offices, self._counts = io, offices, counts
+        self._ended_dials = ended_dials
         self._on_ended, self._on_unused = on_ended, on_unused
         # Of `calls`, those from before this server's start.
         self.reported = ReportedCalls()
@@ -228,7 +231,7 @@
 
     def _release_at_office(self, call: EstablishedCall, cause: int, now: int) -> None:
         self._io.send_to_office(call.office, lines.release(call.call_id, cause), None)
-        call.office.ended_dials.add(call.call_id, call.office_connection, now)
+        self._ended_dials.add(call.office.id, call.call_id, call.office_connection, now)
         call.office.remember_released(call.call_id, cause, now)
 
     def _cut_later(self, office: OfficeRecord, delay: int) -> None:
--- a/wellhitch/platform/records.py
+++ b/wellhitch/platform/records.py
@@ -10,7 +10,6 @@
 
 from wellhitch.interface.events import OfficeState
 from wellhitch.net.transport import Timer
-from wellhitch.platform.ended_dials import EndedDials
 from wellhitch.platform.liveness import OfficeLiveness
 
 REMEMBERED_US = 10_000_000  # releases of established calls, and of unknown ones
@@ -38,7 +37,6 @@
     # Established calls that this server released at the office: cause and time.
     released: dict[str, tuple[int, int]] = field(default_factory=dict)
     cut_timer: Timer | None = None
-    ended_dials: EndedDials = field(kw_only=True)
     liveness: OfficeLiveness = field(kw_only=True)
 
     def remember_released(self, call_id: str, cause: int, now: int) -> None:
@@ -66,6 +64,8 @@
     transit: bool
     dial: PendingDial | None = None
     dial_count: int = 0
+    # Those that this server ended, in addition to `EndedDials`, which may have forgotten them.
+    ended_dials: list[PendingDial] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
