Forget offices that are gone in the decision module, all but the latest 256

What operators saw: nothing yet.

Cause: office_list_received marks an office as gone and nothing removed it.

Change: forget_gone_offices keeps the 256 listed last, since an office that takes the place of another inherits its usual rate. Events about a forgotten office were ignored before as they are for an unknown one, and dials refer to their office directly.

Measured: 768 offices listed and then gone leave 768 records on, 256 now. The new test fails without the change.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -113,6 +113,27 @@
     assert rules.best_route(exchange, new_dialogue(destination=2), 0) is exchange.offices["office-2"]
 
 
+def test_offices_that_are_gone_are_kept_up_to_a_limit(exchange, new_dialogue):
+    # Guards against growing for as long as offices are replaced by new ones under new ids.
+    def list_office(id, state):
+        entry = OfficeEntry(id, 1, state, None)
+        rules.office_list_received(exchange, OfficeListReceived(ListKind.CHANGES, (entry,)))
+
+    list_office("office-1", OfficeState.GONE)
+    for n in range(3 * rules.MAX_GONE_OFFICES):
+        list_office(f"new-{n}", OfficeState.READY)
+        exchange.offices[f"new-{n}"].usual_rate = float(n)
+        list_office(f"new-{n}", OfficeState.GONE)
+    assert len(exchange.offices) == 2 + rules.MAX_GONE_OFFICES and "office-1" not in exchange.offices
+    list_office("the next", OfficeState.READY)
+    assert exchange.by_number[1].usual_rate == 3 * rules.MAX_GONE_OFFICES - 1
+    dialogue = new_dialogue()
+    [send] = rules.route_dialogue(exchange, dialogue, SECOND)
+    list_office("the next", OfficeState.GONE)
+    rules.dial_ended(exchange, dial_end(dialogue, "never listed", DialResult.RESET), SECOND)
+    assert send == Send(dialogue.id, "the next", 2 * SECOND) and dialogue.pending_dial is None
+
+
 def test_office_missing_from_a_full_list_is_gone_and_a_new_one_takes_its_number(exchange):
     exchange.offices["office-1"].usual_rate = 4.0
     rules.office_list_received(
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -29,6 +29,7 @@
 INTERVAL_US = SECOND_US // 4
 # A call server gets a few hundred dialogues a second at most and remembers a number for a minute.
 MAX_CALLED_NUMBERS = 16_384
+MAX_GONE_OFFICES = 256  # offices of the list that are gone
 INTERVAL_TIMER = 0  # token of the interval timer; the token of a dialogue's timer is its id + 1
 
 
@@ -115,9 +116,17 @@
             current = exchange.by_number.get(office.number)
             if current is None or (office.started_at or 0) >= (current.started_at or 0):
                 exchange.by_number[office.number] = office
+    forget_gone_offices(exchange)
     return []
 
 
+def forget_gone_offices(exchange: Exchange) -> None:
+    """Keep the latest offices that are gone: one that takes the place of another inherits its usual rate."""
+    gone = [office for office in exchange.offices.values() if office.state is ev.OfficeState.GONE]
+    for office in gone[:-MAX_GONE_OFFICES]:
+        del exchange.offices[office.id]
+
+
 def update_office(exchange: Exchange, entry: ev.OfficeEntry) -> None:
     """Apply one entry of the list. An office with a new start time has a new processor: the price and the
     dials of the one before it are dropped."""
