Stop resending the release of an earlier call once its Call-ID is set up again

What callers would see: a call in transit that is cut just after it was answered.

Found by reading.

Change: an accepted set-up withdraws the release that waits under its Call-ID.

Measured: the new test in virtual time fails without the change (releases within 0.2 s of the second answer), and passes with it.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -354,6 +354,24 @@
     assert at / 1e6 - over < 1 and sum(len(one.byes(A)) for one in unresponsive) == 3
 
 
+def test_release_of_an_earlier_call_is_not_resent_once_its_call_id_is_set_up_again() -> None:
+    # Guards against ending the later call: one in transit is set up again under its Call-ID after a lost answer.
+    world = World()
+    caller = world.establish(A, world.caller(answers_bye=False))
+    world.offices[1].end_call(A, 16)
+    world.run(0.1)
+    assert len(caller.byes(A)) == 1
+    again = world.caller("10.9.0.2")
+    again.send(invite(A, extra_attributes=";transit:1"))
+    world.run(9)
+    assert (
+        again.statuses(A) == [200]
+        and not again.byes(A)
+        and len(caller.byes(A)) == 1
+        and A in world.core.calls
+    )
+
+
 def test_answered_release_is_not_resent() -> None:
     world = World()
     caller = world.establish(A)
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -216,6 +216,7 @@
             self._accept(connection, message, set_up, now)
 
     def _accept(self, connection: Hashable, message: sip.Request, set_up: SetUp, now: int) -> None:
+        self.releases.forget(set_up.call_id)
         self._last_dialogue += 1
         pending = PendingCall(
             self._last_dialogue,
--- a/wellhitch/platform/releases.py
+++ b/wellhitch/platform/releases.py
@@ -81,6 +81,10 @@
             self._send(release, now)
         self._schedule_retry()
 
+    def forget(self, call_id: str) -> None:
+        """A new call was set up under the Call-ID of one that is over: another release would end the new one."""
+        self._unacknowledged.pop(call_id, None)
+
     def answered(self, call_id: str, connection: Hashable) -> None:
         """A caller answered the release of a call."""
         if self._unacknowledged.pop(call_id, None) is not None and connection in self._connections:
