Remember releases of unknown calls only under well-formed Call-IDs

Need: 4,096 such releases are kept, each under the id that the office wrote, which may have up to 16 KB: 64 MB that an office can make grow. No caller can report a call under such an id.

Change: a release whose id is not a Call-ID is ignored.

Measured: the new test (100 releases with ids of 15 KB) fails without the change.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -391,6 +391,17 @@
     assert len(caller.byes(A)) == 1 and caller.statuses(A) == []
 
 
+def test_releases_under_ids_that_no_caller_can_report_are_not_remembered() -> None:
+    # Guards against keeping 4,096 ids of up to 16 KB each that an office makes up.
+    world = World()
+    for n in range(100):
+        line = f'{{"t":"down","ref":"{n:016x}{"x" * 15_000}","f":{{}},"c":16}}\n'
+        world.offices[1].connections[0].write(line.encode())
+        world.run(0.01)
+    assert not world.core.established._released_unknown and not world.errors
+    assert world.service.office_connections.pools[world.core.offices["s-00000001"]].connected
+
+
 def test_reported_call_gets_no_answer_but_its_release() -> None:
     world = World()
     caller = world.caller()
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -20,7 +20,7 @@
 from wellhitch.platform.liveness import OfficeLiveness
 from wellhitch.platform.records import DialState, EstablishedCall, OfficeRecord, PendingCall, PendingDial
 from wellhitch.platform.server_io import ServerIO
-from wellhitch.platform.set_up_request import SetUp, read_call_id, read_set_up
+from wellhitch.platform.set_up_request import SetUp, is_call_id, read_call_id, read_set_up
 from wellhitch.sip import codec as sip
 
 # Subtracted from each deadline, so that the answer is in time even if a turn of the loop is late by most of it. The
@@ -577,7 +577,7 @@
         q850_cause = CAUSE_CUT if line.cause is None else line.cause
         current = call if dial is None or dial.connection is None else dial
         if current is None:
-            if not self.ended_dials.contains(office.id, line.call_id):
+            if is_call_id(line.call_id) and not self.ended_dials.contains(office.id, line.call_id):
                 self.established.unknown_released(line.call_id, q850_cause, now)
             self.ended_dials.ended_by_office(office.id, line.call_id, connection)
             return
--- a/wellhitch/platform/set_up_request.py
+++ b/wellhitch/platform/set_up_request.py
@@ -44,7 +44,12 @@
 def read_call_id(request: Request) -> str | None:
     """The Call-ID of a message; None where it is missing or malformed."""
     call_id = request.headers.get("call-id", "")
-    return call_id if _CALL_ID.fullmatch(call_id) else None
+    return call_id if is_call_id(call_id) else None
+
+
+def is_call_id(text: str) -> bool:
+    """Whether a text is a well-formed Call-ID."""
+    return _CALL_ID.fullmatch(text) is not None
 
 
 def has_valid_cseq(request: Request) -> bool:
