Keep an office's record at hand while its entry is applied, gone with a new start or not

Cause: ending the calls of an office that is gone with a new start removes its record with the last call, and Core._apply_update looked it up again after that: KeyError.

Change: the records are those that the entries were applied to.

--- a/tests/test_platform_discovery.py
+++ b/tests/test_platform_discovery.py
@@ -110,12 +110,15 @@
     assert len(last.subscriptions) == 1 and len(world.service.discovery._watches) == 1
 
 
-# Known failure (KNOWN-RED.txt): the update raises KeyError, and the watch on discovery is lost with it.
 def test_an_endpoint_that_is_gone_with_a_new_start_is_taken_in_one_event() -> None:
     world = World()
     caller = world.establish("000000000000000a")
     asked = len(world.discovery.subscriptions)
-    world.discovery.publish(row(1, REMOVED, started_ms=UNIX_START_US // 1000 + 10_000))
+    # Guards against a KeyError that lost the watch on discovery, and the replacement that the event names.
+    world.discovery.publish(
+        row(1, REMOVED, started_ms=UNIX_START_US // 1000 + 10_000), row(1, office=3, host="10.1.0.3")
+    )
     world.run(1)
     assert caller.byes("000000000000000a") and not world.core.calls
     assert len(world.discovery.subscriptions) == asked
+    assert world.core.exchange.by_number[1].id == "s-00000003"
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -688,27 +688,26 @@
     def _apply_update(self, update: Update, kind_if_full: ev.ListKind, now: int) -> None:
         """Update the office records and feed the office list to the decision module, a full list as of kind
         `kind_if_full`."""
-        for entry in update.entries:
-            self._apply_entry(entry, now)
+        # The record of an office that is gone is removed with its last call, maybe while its entry is applied.
+        offices = [self._apply_entry(entry, now) for entry in update.entries]
         if update.full:
             listed_ids = {entry.id for entry in update.entries}
             for office in self.offices.values():
                 if office.id not in listed_ids:
                     office.state = ev.OfficeState.GONE
-        offices = [self.offices[entry.id] for entry in update.entries]
         entries = tuple(
             ev.OfficeEntry(office.id, office.number, office.state, office.started_at) for office in offices
         )
         self.feed(ev.OfficeListReceived(kind_if_full if update.full else ev.ListKind.CHANGES, entries), now)
 
-    def _apply_entry(self, entry: DiscoveryEntry, now: int) -> None:
+    def _apply_entry(self, entry: DiscoveryEntry, now: int) -> OfficeRecord:
         state = OFFICE_STATES[entry.state]
         # The offset is fixed at the start, so that the same start time always gives the same loop time.
         started_at = max(1, entry.started_ms * 1000 - self.loop_epoch_us) if entry.started_ms else None
         office = self.offices.get(entry.id)
         if office is None:
             tests_allowed = self.configuration.permissions.may_probe
-            self.offices[entry.id] = OfficeRecord(
+            office = self.offices[entry.id] = OfficeRecord(
                 entry.id,
                 entry.exchange,
                 entry.address,
@@ -719,7 +718,7 @@
             self.io.log(
                 "office", office=entry.id, number=entry.exchange, standing=state.name, started=started_at
             )
-            return
+            return office
         if state is not office.state:
             self.io.log(
                 "office", office=entry.id, number=entry.exchange, standing=state.name, started=started_at
@@ -733,6 +732,7 @@
             office.address = entry.address
             if office.calls:
                 self.io.keep_connection(office)
+        return office
 
     def _apply_state(self, office: OfficeRecord, now: int) -> None:
         """Connect to an office that is ready; withdraw what was not sent to one that is draining or gone."""
