Let the oldest connection to discovery wait for a late answer

Cause: DiscoveryClient.opened closed the oldest of two watches for each new one, one each 3.6 s, so that none lived for longer than 7.2 s and no later answer was read.

Change: three watches. The oldest waits for 30 s, the others replace each other as before (watch_to_close, pure). No more connections are opened than before.

Two new tests and a new delay of an old one fail before.

--- a/tests/test_platform_discovery.py
+++ b/tests/test_platform_discovery.py
@@ -7,11 +7,13 @@
 from wellhitch.platform.watch_policy import (
     MAX_RETRY_S,
     MAX_SILENCE_S,
+    MAX_WAIT_S,
     RETRY_S,
     SILENCE_S,
     Order,
     Revisions,
     WatchPolicy,
+    watch_to_close,
 )
 from wellhitch.stand_ins.platform import DiscoveryServer
 
@@ -60,10 +62,27 @@
     assert revisions.order(6, False, True) is Order.HELD_ALREADY
 
 
+def test_oldest_watch_waits_for_a_late_answer_while_the_others_replace_each_other() -> None:
+    assert watch_to_close([]) is None and watch_to_close([100.0, 3.6]) is None
+    assert watch_to_close([7.2, 3.6, 0.0]) == 1
+    assert watch_to_close([MAX_WAIT_S, 7.2, 3.6]) == 0
+
+
 # ---- in virtual time ----
 
 
-@pytest.mark.parametrize("slow_s", [0.5, 1.5, 2.5])
+def test_update_that_comes_eight_seconds_late_on_every_connection_is_received() -> None:
+    # Guards against closing each watch before its late answer: the office list was never updated.
+    world = World()
+    world.net.faults_between(SERVER, DISCOVERY_HOST).extra_delay_us = 8_000_000
+    world.run(0.5)
+    world.discovery.publish(row(1, DRAINING))
+    assert world.run_until(8.5, lambda: drained(world))
+    world.run(20)
+    assert len(world.service.discovery._watches) <= 3
+
+
+@pytest.mark.parametrize("slow_s", [0.5, 1.5, 2.5, 4.0])
 def test_slow_discovery_can_answer_and_is_not_flooded_with_requests(slow_s: float) -> None:
     """`slow_s` is the delay in one direction; an answer takes twice as long."""
     world = World()
--- a/wellhitch/platform/discovery.py
+++ b/wellhitch/platform/discovery.py
@@ -7,7 +7,7 @@
 
 from wellhitch.board import codec
 from wellhitch.net.transport import ConnectFailure, Network
-from wellhitch.platform.watch_policy import MAX_WATCHES, Order, Revisions, WatchPolicy
+from wellhitch.platform.watch_policy import Order, Revisions, WatchPolicy, watch_to_close
 
 READ_BUFFER_BYTES = 16 * 1024
 
@@ -21,6 +21,7 @@
         self.buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.transport: asyncio.Transport | None = None
         self.ended = False
+        self.silent_since = 0.0  # in seconds of the loop's clock
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -142,8 +143,10 @@
             watch.end()
             return
         self._connecting = False
-        if len(self._watches) >= MAX_WATCHES:
-            self._watches.pop(0).end()
+        watch.silent_since = self.loop.time()
+        to_close = watch_to_close([watch.silent_since - other.silent_since for other in self._watches])
+        if to_close is not None:
+            self._watches.pop(to_close).end()
         self._watches.append(watch)
         assert watch.transport is not None
         watch.transport.write(codec.encode_subscription(self.revision))
@@ -189,6 +192,7 @@
         if watch not in self._watches:
             return
         self._keep_only(watch)
+        watch.silent_since = self.loop.time()
         self._restart_silence_timer()
         limit = ""
         try:
--- a/wellhitch/platform/watch_policy.py
+++ b/wellhitch/platform/watch_policy.py
@@ -3,8 +3,12 @@
 A watch is one open connection to discovery. A silent watch stays open when another is opened: discovery may only be
 slow or overloaded, and reconnecting each time an answer is late would never let it answer. The first watch that
 delivers data is kept and the others are closed.
+
+With three watches, the oldest waits for an answer however late, and the other two replace each other: so discovery that
+needs many seconds is heard, and so is one that answers within a few on new connections alone.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -14,7 +18,9 @@
 # The timeout doubles while discovery stays silent. An update counts as received six seconds after discovery is
 # reachable again, which leaves time to connect and receive an answer.
 MAX_SILENCE_S = 3.6
-MAX_WATCHES = 2
+MAX_WATCHES = 3
+# A watch that was silent for so long is closed before any other.
+MAX_WAIT_S = 30.0
 # An update that a broken watch missed counts as received two seconds after the break.
 RETRY_S = 0.05
 MAX_RETRY_S = 0.5
@@ -41,6 +47,14 @@
         return wait
 
 
+def watch_to_close(silent_s: Sequence[float]) -> int | None:
+    """Which watch gives way to a new one: its index, given how long each has been silent, the oldest first. None while
+    there is room."""
+    if len(silent_s) < MAX_WATCHES:
+        return None
+    return 0 if silent_s[0] >= MAX_WAIT_S else 1
+
+
 class Order(Enum):
     """How an update's revision relates to the last one held."""
 
