Tell callers that calls are over which they report at an office with a later start

What callers saw: they were never told that their call was over.

Cause: EstablishedCalls.reported_by_caller did not look at the office's start. office_restarted ends earlier calls only at the moment the start is told, which is before the callers report theirs.

Change: a call from before this server's start, at an office that started after it, is released to its caller at once. Starts before the loop's clock was 0 count as its first microsecond, and so does our own.

The new test fails before the change.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -414,6 +414,22 @@
     assert len(caller.byes(A)) == 1
 
 
+@pytest.mark.parametrize("later_s", [-5, 2])
+def test_call_reported_at_an_office_with_a_later_start_than_this_server_is_over(later_s: int) -> None:
+    # Guards against keeping it as established for good: the office lost it with its process, and sends no release.
+    world = World()
+    world.run(5)
+    started_ms = (UNIX_START_US + later_s * SECOND) // 1000
+    world.discovery.publish(row(1, READY, started_ms=started_ms))
+    world.run(0.1)
+    caller = world.caller()
+    caller.send(invite(A, extra_attributes=";at:s-00000001"))
+    world.run(0.3)
+    over = later_s > 0
+    assert [reason for _, reason in caller.byes(A)] == (["Q.850;cause=41"] if over else [])
+    assert (A in world.core.calls) is not over
+
+
 def test_call_reported_at_an_unknown_office_is_released() -> None:
     world = World()
     caller = world.caller()
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -32,6 +32,8 @@
 # again.
 CALLS_REPORTED_WITHIN_US = 15_000_000
 
+# Start times before the loop's clock was 0 count as this one.
+EARLIEST_START_US = 1
 # After the deadline of a dial, in which an office may still send a line about it.
 LATE_LINES_US = 5_000_000
 
@@ -99,6 +101,7 @@
         """Begin with the settings and the discovery updates known so far. Connections are opened after all updates are
         applied. Draining offices are connected too: they may hold calls from before a restart, and send the releases of
         these on the first connection."""
+        self.established.started_at = max(EARLIEST_START_US, now)
         self.feed(self.configuration, now)
         for update in known_updates:
             self._apply_update(update, ev.ListKind.CACHED, now)
@@ -703,7 +706,9 @@
     def _apply_entry(self, entry: DiscoveryEntry, now: int) -> OfficeRecord:
         state = OFFICE_STATES[entry.state]
         # The offset is fixed at the start, so that the same start time always gives the same loop time.
-        started_at = max(1, entry.started_ms * 1000 - self.loop_epoch_us) if entry.started_ms else None
+        started_at = (
+            max(EARLIEST_START_US, entry.started_ms * 1000 - self.loop_epoch_us) if entry.started_ms else None
+        )
         office = self.offices.get(entry.id)
         if office is None:
             tests_allowed = self.configuration.permissions.may_probe
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -44,6 +44,8 @@
         on_unused: Callable[[OfficeRecord], None],
     ) -> None:
         """`on_ended` is called once for each call that ends, `on_unused` for an office that may have no calls left."""
+        # When this server started, on the clock of `OfficeRecord.started_at`.
+        self.started_at = 0
         self.calls: dict[str, EstablishedCall] = {}
         self.releases = ReleaseQueue(io.send_to_caller, io.start_timer, io.log)
         self._io, self._offices, self._counts = io, offices, counts
@@ -90,6 +92,11 @@
         if office is None:  # removed, with its calls, while this server was down
             self.release_to_caller(call_id, CAUSE_CUT, connection, now)
             return
+        if (office.started_at or 0) > self.started_at:
+            # The call is from before this server's start, and the office has lost it with a later start of its own.
+            self._counts["stands_before_office_start"] += 1
+            self.release_to_caller(call_id, CAUSE_CUT, connection, now)
+            return
         call = EstablishedCall(call_id, office, connection, None, 0, ESTABLISHED_BEFORE_START)
         self._register(call)
         office.liveness.call_reported(call, now)
