At the end of the process, end the calls of an office that refused connections meanwhile

What callers saw: they were never told that their calls were over. An office's process dies in the last seconds before a call server ends after SIGTERM and is back within a second: the call server saw the resets and a refusal, waited for its seven seconds of silence and ended. The next one keeps the calls as standing when their callers name them.

Cause: OfficeLiveness.unconfirmed_calls asked for two seconds of silence with unanswered tests, and a refusal counted for nothing.

Change: calls on a run of the process that has no connection left, with a refusal after its last one, are unconfirmed too. At the end they are released to their callers, and now also to the office, in case it has them after all. A line about one of them on a new connection shows that it is the same process, as before.

The new test fails before.

--- a/tests/test_platform_liveness.py
+++ b/tests/test_platform_liveness.py
@@ -159,6 +159,25 @@
     assert liveness.unconfirmed_calls(63 * SECOND) == {"call"}
 
 
+def test_calls_from_before_a_refused_connection_are_unconfirmed() -> None:
+    # Guards against ending this process without telling their callers: the next one can't know of the refusal.
+    liveness = OfficeLiveness(True, 0)
+    liveness.connection_opened("first", 0)
+    liveness.call_established("call", "first")
+    liveness.received("first", 60 * SECOND)
+    liveness.connection_closed("first")
+    assert not liveness.unconfirmed_calls(60 * SECOND)
+    liveness.connection_refused()
+    assert liveness.unconfirmed_calls(60 * SECOND) == {"call"}
+    liveness.connection_opened("second", 60 * SECOND + 500_000)
+    liveness.received("second", 60 * SECOND + 500_000)
+    liveness.call_established("later call", "second")
+    assert liveness.unconfirmed_calls(60 * SECOND + 600_000) == {"call"}
+    # A line about the earlier call on the new connection: the process is the same one after all.
+    liveness.call_mentioned("call", "second", 60 * SECOND + 700_000)
+    assert not liveness.unconfirmed_calls(60 * SECOND + 800_000)
+
+
 def test_quick_answer_on_a_new_connection_is_not_taken_for_a_greeting() -> None:
     liveness = liveness_with_a_call(tests_allowed=False, greets=False)
     liveness.connection_opened("other", SECOND // 2)
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -200,10 +200,12 @@
 
     def cut_unconfirmed(self, now: int) -> None:
         """Before this process ends, cut the calls whose office may have vanished: the next process cannot know how long
-        it has been silent, and their callers can still be notified."""
+        it has been silent, and their callers can still be notified. An office that still has them is told too."""
         for office in list(self._offices.values()):
             unconfirmed = office.liveness.unconfirmed_calls(now)
             calls = [call for call in office.calls.values() if call in unconfirmed]
+            for call in calls:
+                self._release_at_office(call, CAUSE_CUT, now)
             self._cut(office, calls, "its endpoint is silent, and this process ends", now)
 
     # ---- internal ----
--- a/wellhitch/platform/liveness.py
+++ b/wellhitch/platform/liveness.py
@@ -182,14 +182,22 @@
         return due
 
     def unconfirmed_calls(self, now: int) -> set[Hashable]:
-        """The calls that may be lost already: tests stayed unanswered for longer than a lost connection explains."""
+        """The calls that may be lost already: tests stayed unanswered for longer than a lost connection explains, or
+        the office refused a connection while none was up, as it does when its process has died."""
         return {
             call
             for incarnation in self.incarnations
-            if now - incarnation.confirmed_at >= SAME_INCARNATION_US and self._tested_long(incarnation, now)
+            if self._silent_under_test(incarnation, now) or self._refused_since(incarnation)
             for call in incarnation.calls
         }
 
+    def _silent_under_test(self, incarnation: Incarnation, now: int) -> bool:
+        return now - incarnation.confirmed_at >= SAME_INCARNATION_US and self._tested_long(incarnation, now)
+
+    def _refused_since(self, incarnation: Incarnation) -> bool:
+        """Whether an incarnation has no connection left and a refusal came after its last one."""
+        return not incarnation.connections and (incarnation is not self.current or self._refused)
+
     def under_test(self, connection: Hashable) -> bool:
         """Whether a connection that has just come up is to be tested at once."""
         incarnation = self._of_connection(connection)
