Split the office list and the load reports off the platform's core

Change: platform/office_list.py holds the records, their start, update and end; load_reports.py reads reports. Moved as they were, with the start time's conversion in a function of its own and one log call where there were two.

--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -7,17 +7,16 @@
 
 from collections import Counter
 from collections.abc import Hashable, Iterable
-from functools import lru_cache
 
-from wellhitch.adapter.codec import read_report
-from wellhitch.board.codec import DRAINING, REMOVED, DiscoveryEntry, Update
+from wellhitch.board.codec import Update
 from wellhitch.deciding.runner import Runner
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
 from wellhitch.office_lines import codec as lines
 from wellhitch.platform.ended_dials import EndedDials, LineOwner, line_owner
 from wellhitch.platform.established import CAUSE_CUT, CAUSE_NORMAL, EstablishedCalls
-from wellhitch.platform.liveness import OfficeLiveness
+from wellhitch.platform.load_reports import EMPTY_REPORT, load_report
+from wellhitch.platform.office_list import EARLIEST_START_US, OfficeList
 from wellhitch.platform.records import DialState, EstablishedCall, OfficeRecord, PendingCall, PendingDial
 from wellhitch.platform.server_io import ServerIO
 from wellhitch.platform.set_up_request import SetUp, is_call_id, read_call_id, read_set_up
@@ -26,14 +25,6 @@
 # Subtracted from each deadline, so that the answer is in time even if a turn of the loop is late by most of it. The
 # operators allow 50 ms more on every limit.
 ANSWER_MARGIN_US = 20_000
-# A load report with four names has some sixty characters.
-MAX_LOAD_REPORT_CHARACTERS = 256
-# After the start, in which callers report their calls from before it; they do so once the front end uses this server
-# again.
-CALLS_REPORTED_WITHIN_US = 15_000_000
-
-# Start times before the loop's clock was 0 count as this one.
-EARLIEST_START_US = 1
 # After the deadline of a dial, in which an office may still send a line about it.
 LATE_LINES_US = 5_000_000
 
@@ -52,8 +43,6 @@
     "overload": ev.ReleaseCause.PROCESSOR_FULL,
     "lines_busy": ev.ReleaseCause.LINES_BUSY,
 }
-# Indexed by the states of discovery.
-OFFICE_STATES = (ev.OfficeState.READY, ev.OfficeState.DRAINING, ev.OfficeState.GONE)
 
 
 class Core:
@@ -63,12 +52,7 @@
         self, configuration: ev.ServerStarted, max_open: int, loop_epoch_us: int, io: ServerIO
     ) -> None:
         """`loop_epoch_us`: Unix time in us at which the loop's clock was 0; converts the start times of discovery."""
-        self.configuration, self.max_open, self.loop_epoch_us, self.io = (
-            configuration,
-            max_open,
-            loop_epoch_us,
-            io,
-        )
+        self.configuration, self.max_open, self.io = configuration, max_open, io
         self.number = (
             configuration.topology.own_number if configuration.topology.own_number is not None else -1
         )
@@ -78,43 +62,42 @@
         self.pending_calls: dict[int, PendingCall] = {}
         self.pending_by_call_id: dict[str, PendingCall] = {}
         self.pending_by_connection: dict[Hashable, dict[str, PendingCall]] = {}
-        self.offices: dict[str, OfficeRecord] = {}
+        self.office_list = OfficeList(
+            self.number,
+            configuration.permissions.may_probe,
+            loop_epoch_us,
+            io,
+            self.feed,
+            self._withdraw_waiting_dials,
+        )
+        self.offices = self.office_list.offices
         longest_deadline_us = max(
             (traffic_class.deadline for traffic_class in configuration.traffic_classes), default=0
         )
         self.ended_dials = EndedDials(longest_deadline_us + LATE_LINES_US)
         self.established = EstablishedCalls(
-            io, self.offices, self.counts, self.ended_dials, self._call_ended, self._release_if_unused
+            io,
+            self.offices,
+            self.counts,
+            self.ended_dials,
+            self._call_ended,
+            self.office_list.release_if_unused,
         )
+        self.office_list.calls = self.established
         self.calls, self.releases = self.established.calls, self.established.releases
         # Health checks fail, so that the front end of the callers stops using this call server.
         self.stopping = False
         self.draining = False  # new set-ups are refused
-        # Whether callers have had the time to report the calls from before the start.
-        self._callers_reported_calls = False
         self._last_dialogue = 0
         self._traffic_classes = {
             traffic_class.name: traffic_class for traffic_class in configuration.traffic_classes
         }
 
     def start(self, known_updates: Iterable[Update], now: int) -> None:
-        """Begin with the settings and the discovery updates known so far. Connections are opened after all updates are
-        applied. Draining offices are connected too: they may hold calls from before a restart, and send the releases of
-        these on the first connection."""
+        """Begin with the settings and the discovery updates known so far."""
         self.established.started_at = max(EARLIEST_START_US, now)
         self.feed(self.configuration, now)
-        for update in known_updates:
-            self._apply_update(update, ev.ListKind.CACHED, now)
-        for office in list(self.offices.values()):
-            self._apply_state(office, now)
-            if office.state is ev.OfficeState.DRAINING and office.number != self.number:
-                self.io.keep_connection(office)
-        self.io.start_timer(CALLS_REPORTED_WITHIN_US, self._calls_reported)
-
-    def _calls_reported(self, now: int) -> None:
-        self._callers_reported_calls = True
-        for office in list(self.offices.values()):
-            self._release_if_unused(office)
+        self.office_list.start(known_updates, now)
 
     # ---- decision module ----
 
@@ -317,7 +300,7 @@
         self.feed(ev.CallerLeft(pending.id), now)
         if dial is not None and dial.state is DialState.PENDING:
             self._end_dial(dial, now)
-            self._release_if_unused(dial.office)
+            self.office_list.release_if_unused(dial.office)
 
     def _send_failure(self, pending: PendingCall, status: int, answer: str, headers: str, now: int) -> None:
         """Send the one final answer of a set-up that is not established, and forget the set-up."""
@@ -461,7 +444,7 @@
         now: int,
     ) -> None:
         self._report_dial_end(dial.call.id, dial.number, dial.office.id, result, cause, report, now)
-        self._release_if_unused(dial.office)
+        self.office_list.release_if_unused(dial.office)
 
     def _report_dial_end(
         self,
@@ -505,7 +488,7 @@
             case "down":
                 self._office_released(office, connection, line, now)
             case "gauge":
-                report = _report(line)
+                report = load_report(line)
                 if report != EMPTY_REPORT:
                     self.feed(ev.OfficeReported(office.id, False, True, report), now)
             case "wait" | "ack" | "hb" | "hb_ok":
@@ -569,7 +552,7 @@
             sent=sent,
         )
         self.feed(ev.DialogueEstablished(pending.id, dial.number, now - dial.started_at), now)
-        report = _report(line)
+        report = load_report(line)
         if report != EMPTY_REPORT:
             self.feed(ev.OfficeReported(office.id, False, True, report), now)
 
@@ -601,10 +584,10 @@
         if isinstance(current, PendingDial):
             self._dial_released(current, line, q850_cause, certain, now)
         elif certain:
-            self.established.released_by_office(current, connection, q850_cause, _report(line), now)
+            self.established.released_by_office(current, connection, q850_cause, load_report(line), now)
         else:
             self.established.released_by_office_or_earlier(
-                current, connection, q850_cause, _report(line), now
+                current, connection, q850_cause, load_report(line), now
             )
 
     def _line_owner(
@@ -635,7 +618,7 @@
                 dial.office.id,
                 ev.DialResult.ENDED_WELL,
                 ev.ReleaseCause.NONE,
-                _report(line),
+                load_report(line),
                 now,
                 True,
             )
@@ -644,7 +627,7 @@
             self._forget_dial(dial)
             result = RESULT_BY_CAUSE.get(q850_cause, ev.DialResult.RESET)
             cause = RELEASE_CAUSE_BY_NOTE.get(str(line.fields.get("note", "")), ev.ReleaseCause.NONE)
-            self._dial_ended(dial, result, cause, _report(line), now)
+            self._dial_ended(dial, result, cause, load_report(line), now)
         else:
             self.counts["releases_uncertain"] += 1
             self._abandon_dial(dial, ev.DialResult.RESET, now)
@@ -676,101 +659,21 @@
                 now,
                 True,
             )
-        self._release_if_unused(call.office)
+        self.office_list.release_if_unused(call.office)
 
     # ---- discovery ----
 
     def discovery_update(self, update: Update, now: int) -> None:
         """Apply an update from discovery."""
-        if update.heartbeat:
-            return
-        self._apply_update(update, ev.ListKind.FULL, now)
-        for office in list(self.offices.values()):
-            self._apply_state(office, now)
-
-    def _apply_update(self, update: Update, kind_if_full: ev.ListKind, now: int) -> None:
-        """Update the office records and feed the office list to the decision module, a full list as of kind
-        `kind_if_full`."""
-        # The record of an office that is gone is removed with its last call, maybe while its entry is applied.
-        offices = [self._apply_entry(entry, now) for entry in update.entries]
-        if update.full:
-            listed_ids = {entry.id for entry in update.entries}
-            for office in self.offices.values():
-                if office.id not in listed_ids:
-                    office.state = ev.OfficeState.GONE
-        entries = tuple(
-            ev.OfficeEntry(office.id, office.number, office.state, office.started_at) for office in offices
-        )
-        self.feed(ev.OfficeListReceived(kind_if_full if update.full else ev.ListKind.CHANGES, entries), now)
+        self.office_list.update_received(update, now)
 
-    def _apply_entry(self, entry: DiscoveryEntry, now: int) -> OfficeRecord:
-        state = OFFICE_STATES[entry.state]
-        # The offset is fixed at the start, so that the same start time always gives the same loop time.
-        started_at = (
-            max(EARLIEST_START_US, entry.started_ms * 1000 - self.loop_epoch_us) if entry.started_ms else None
-        )
-        office = self.offices.get(entry.id)
-        if office is None:
-            tests_allowed = self.configuration.permissions.may_probe
-            office = self.offices[entry.id] = OfficeRecord(
-                entry.id,
-                entry.exchange,
-                entry.address,
-                state,
-                started_at,
-                liveness=OfficeLiveness(tests_allowed, now),
-            )
-            self.io.log(
-                "office", office=entry.id, number=entry.exchange, standing=state.name, started=started_at
-            )
-            return office
-        if state is not office.state:
-            self.io.log(
-                "office", office=entry.id, number=entry.exchange, standing=state.name, started=started_at
-            )
-        restarted = started_at is not None and started_at != office.started_at
-        office.state, office.started_at, office.number = state, started_at, entry.exchange
-        if restarted:
-            self.established.office_restarted(office, now)
-        if office.address != entry.address:
-            self.io.drop_connections(office, True)
-            office.address = entry.address
-            if office.calls:
-                self.io.keep_connection(office)
-        return office
-
-    def _apply_state(self, office: OfficeRecord, now: int) -> None:
-        """Connect to an office that is ready; withdraw what was not sent to one that is draining or gone."""
-        if office.number == self.number:
-            return
-        if office.state is ev.OfficeState.READY:
-            self.io.keep_connection(office)
-            return
-        self.io.discard_unsent(office)  # enforces rule 3 for an office that does not read
+    def _withdraw_waiting_dials(self, office: OfficeRecord, now: int) -> None:
+        """Enforces rule 3: a set-up that still waits for a connection to an office that drains is not sent."""
         for dial in list(office.dials.values()):
             if dial.connection is None:
-                # Enforces rule 3: a set-up that still waits for a connection to the office is withdrawn.
                 self.counts["kept_back.drained"] += 1
                 self._forget_dial(dial)
-                self._dial_ended(dial, ev.DialResult.NOT_SENT, ev.ReleaseCause.NONE, ev.OfficeReport(), now)
-        if office.state is ev.OfficeState.GONE and office.calls:
-            self.established.office_gone(office)
-        self._release_if_unused(office)
-
-    def _release_if_unused(self, office: OfficeRecord) -> None:
-        """Close the connections of an office that is draining or gone once it has no calls and no dials. The record of
-        one that is gone is then removed, as records of replaced offices must not accumulate."""
-        if office.state is ev.OfficeState.READY or office.calls or office.dials:
-            return
-        if office.state is ev.OfficeState.DRAINING and self._callers_reported_calls:
-            self.io.close_idle_connections(office)
-        if office.state is ev.OfficeState.GONE:
-            self.io.drop_connections(office, False)
-            if office.cut_timer is not None:
-                office.cut_timer.cancel()
-                office.cut_timer = None
-            if self.offices.get(office.id) is office:
-                del self.offices[office.id]
+                self._dial_ended(dial, ev.DialResult.NOT_SENT, ev.ReleaseCause.NONE, EMPTY_REPORT, now)
 
     # ---- peers and shutdown ----
 
@@ -791,24 +694,3 @@
 
 
 KNOWN_METHODS = frozenset(("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS", "NOTIFY"))
-assert (DRAINING, REMOVED) == (1, 2)  # OFFICE_STATES is indexed by the states of discovery
-
-
-EMPTY_REPORT = ev.OfficeReport()
-
-
-def _report(line: lines.Line) -> ev.OfficeReport:
-    load = line.fields.get("load")
-    if load is None:
-        return EMPTY_REPORT
-    return (
-        _read_load(load)
-        if isinstance(load, str) and len(load) <= MAX_LOAD_REPORT_CHARACTERS
-        else EMPTY_REPORT
-    )
-
-
-@lru_cache(maxsize=1024)
-def _read_load(load: str) -> ev.OfficeReport:
-    """The values of a load report. Cached, as offices send fourteen reports per dialogue with few different texts."""
-    return read_report(lines.parse_load(load))
