Send the release of a dial lost with its connection again on the next one

Where all connections of an office are reset at once, the release of a lost dial was written to one that was being reset too.

Cause: Core.dial_connection_lost did not remember that release; only those of established calls are sent again when a connection comes up.

Change: it is remembered if it was written and not queued. A release is not sent again once its Call-ID was sent to that office in a later set-up, which it would end; the set-up goes out after the release wait, and the new connection comes up before.

Measured: the new test in virtual time fails without the change.

--- a/tests/test_ended_dials.py
+++ b/tests/test_ended_dials.py
@@ -225,3 +225,33 @@
     office.end_call(A, 34, "turned_back", first_connection)
     world.run(0.02)
     assert dials(world) == 2 and A in world.core.pending_by_call_id
+
+
+def test_release_of_a_lost_dial_is_sent_again_on_the_next_connection() -> None:
+    # Guards against a call that stands on at the office beside the next dial: the release was written to a connection
+    # that was being reset too.
+    world = World()
+    office = world.offices[1]
+    office.answers = False
+    caller = world.caller()
+    caller.send(invite("000000000000000b", extra_attributes=";transit:1"))
+    world.run(0.01)
+    caller.send(invite("000000000000000c", extra_attributes=";transit:1"))
+    world.run(0.01)
+    caller.send(advised_invite())
+    assert world.run_until(0.1, lambda: A in office.connection_by_call_id)
+    office.connections.sort(key=lambda connection: connection is not office.connection_by_call_id[A])
+    assert len(office.connections) > 1
+    for connection in office.connections:
+        assert connection.transport is not None
+        connection.transport.abort()
+        world.run(0.0015)  # the first reset has arrived, and the release is on its way on another connection
+    assert world.run_until(0.5, lambda: [line.call_id for line in office.lines_of_type("new")].count(A) == 2)
+    world.run(0.01)
+    assert [line.type for _, line in office.received if line.call_id == A] == ["new", "down", "new"]
+    office.answer(A)
+    world.run(0.01)
+    assert A in world.core.calls
+    world.service.office_connections.pools[world.core.offices["s-00000001"]].open_another()
+    world.run(0.1)
+    assert [line.type for _, line in office.received if line.call_id == A] == ["new", "down", "new"]
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -427,7 +427,10 @@
         self._forget_dial(dial)
         if sent and dial.office.state is not ev.OfficeState.GONE:
             self._remember_ended(dial, now)
-            self.io.send_to_office(dial.office, lines.release(dial.call.call_id, CAUSE_NORMAL), None)
+            release = lines.release(dial.call.call_id, CAUSE_NORMAL)
+            if self.io.send_to_office(dial.office, release, None):
+                # It may be lost too: where all connections are reset at once, this server sees one after the other.
+                dial.office.remember_released(dial.call.call_id, CAUSE_NORMAL, now)
         if sent:
             result = ev.DialResult.RESET
         else:
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -186,10 +186,13 @@
         self._cut(office, earlier, "its endpoint started again", now)
 
     def connection_opened(self, office: OfficeRecord, connection: Hashable, now: int) -> None:
-        """A connection to an office is up. Releases sent since its last confirmation are sent again: they may have been
-        lost with an earlier connection, and the office would keep the calls."""
+        """A connection to an office is up. Releases sent since its last confirmation are sent again: they may have
+        been lost with an earlier connection, and the office would keep the calls. One whose Call-ID was sent there in
+        a later set-up would end that one."""
         for call_id, (cause, released_at) in office.released.items():
-            if released_at >= office.liveness.current.confirmed_at:
+            later_dial = office.dials.get(call_id)
+            set_up_again = call_id in office.calls or (later_dial and later_dial.connection is not None)
+            if released_at >= office.liveness.current.confirmed_at and not set_up_again:
                 self._io.send_to_office(office, lines.release(call_id, cause), connection)
         office.liveness.connection_opened(connection, now)
         if office.liveness.under_test(connection):
--- a/wellhitch/platform/offices.py
+++ b/wellhitch/platform/offices.py
@@ -211,14 +211,16 @@
             connection.dials.pop(dial, None)
         return False
 
-    def send(self, line: bytes, preferred: object | None) -> None:
-        """Send on `preferred` if it is up, else on any other, else on the next that comes up."""
+    def send(self, line: bytes, preferred: object | None) -> bool:
+        """Send on `preferred` if it is up, else on any other, else on the next that comes up. Whether it was written to
+        one that is up."""
         connection = next((connection for connection in self.connected if connection.writable), None)
         if isinstance(preferred, OfficeConnection) and preferred in self.connected and preferred.writable:
             connection = preferred
         if connection is not None:
             connection.write(line)
-        elif self.ended:
+            return True
+        if self.ended:
             self.owner.counts["office.unsent_at_end"] += 1
         elif len(self.queue) < MAX_QUEUED_LINES:
             self.queue.append(line)
@@ -226,6 +228,7 @@
                 self._connect()
         else:
             self.owner.counts["office.queue_full"] += 1
+        return False
 
     # -- connections --
 
--- a/wellhitch/platform/records.py
+++ b/wellhitch/platform/records.py
@@ -34,7 +34,7 @@
     started_at: int | None
     dials: dict[str, PendingDial] = field(default_factory=dict)
     calls: dict[str, EstablishedCall] = field(default_factory=dict)
-    # Established calls that this server released at the office: cause and time.
+    # Established calls, and dials lost with their connection, that this server released at the office: cause and time.
     released: dict[str, tuple[int, int]] = field(default_factory=dict)
     cut_timer: Timer | None = None
     liveness: OfficeLiveness = field(kw_only=True)
--- a/wellhitch/platform/server_io.py
+++ b/wellhitch/platform/server_io.py
@@ -26,8 +26,9 @@
     def is_open(self, connection: Hashable) -> bool:
         """Whether a connection to an office is open."""
 
-    def send_to_office(self, office: OfficeRecord, line: bytes, preferred: object | None) -> None:
-        """Send on the connection `preferred` if it is up, else on any other, else on the next that comes up."""
+    def send_to_office(self, office: OfficeRecord, line: bytes, preferred: object | None) -> bool:
+        """Send on the connection `preferred` if it is up, else on any other, else on the next that comes up. Whether it
+        was written to one that is up."""
 
     def keep_connection(self, office: OfficeRecord) -> None:
         """Keep at least one connection to an office up."""
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -269,9 +269,9 @@
         """See `ServerIO`."""
         return isinstance(connection, OfficeConnection) and connection.transport is not None
 
-    def send_to_office(self, office: OfficeRecord, line: bytes, preferred: object | None) -> None:
+    def send_to_office(self, office: OfficeRecord, line: bytes, preferred: object | None) -> bool:
         """See `ServerIO`."""
-        self.office_connections.pool(office).send(line, preferred)
+        return self.office_connections.pool(office).send(line, preferred)
 
     def keep_connection(self, office: OfficeRecord) -> None:
         """See `ServerIO`."""
