Log the cause of a late refusal by its name, not the office's text

Need: a note of an office may have up to 16 KB, more than the log's reader is promised room for.

Change: `late_refusal` has `blame` as `attempt_ended` has.

Measured: the platform's tests pass; no decision changed.

--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -578,7 +578,7 @@
                 call=line.call_id,
                 endpoint=office.id,
                 cause=q850_cause,
-                note=line.fields.get("note"),
+                blame=_release_cause(line).name.lower(),
             )
             current.earlier_connections -= {connection}
             self.ended_dials.ended_by_office(office.id, line.call_id, connection)
@@ -629,7 +629,7 @@
         elif certain:
             self._forget_dial(dial)
             result = RESULT_BY_CAUSE.get(q850_cause, ev.DialResult.RESET)
-            cause = RELEASE_CAUSE_BY_NOTE.get(str(line.fields.get("note", "")), ev.ReleaseCause.NONE)
+            cause = _release_cause(line)
             self._dial_ended(dial, result, cause, load_report(line), now)
         else:
             self.counts["releases_uncertain"] += 1
@@ -697,3 +697,7 @@
 
 
 KNOWN_METHODS = frozenset(("INVITE", "ACK", "CANCEL", "BYE", "OPTIONS", "NOTIFY"))
+
+
+def _release_cause(line: lines.Line) -> ev.ReleaseCause:
+    return RELEASE_CAUSE_BY_NOTE.get(str(line.fields.get("note", "")), ev.ReleaseCause.NONE)
