--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -11,7 +11,7 @@
 
 from wellhitch.net.transport import Listener, Network
 from wellhitch.platform.eviction import SILENT_S, ConnectionTable
-from wellhitch.platform.set_up_request import reports_established_call
+from wellhitch.platform.set_up_request import read_call_id, reports_established_call
 from wellhitch.sip import codec as sip
 
 # Turns of the loop from accepting a connection until the data that came with it has been read.
@@ -89,6 +89,15 @@
         self.peer = ""  # address of the caller, for the log
         self.unreadable = False
 
+    def __str__(self) -> str:
+        """The caller's address, by which the log names the connection."""
+        return self.peer
+
+    @property
+    def unsent_bytes(self) -> int:
+        """How much of what was written the caller has not taken yet."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.last_message_at = self.owner.loop.time()
@@ -147,6 +156,8 @@
                 or reports_established_call(message)
             ):
                 self.owner.events.message_received(self, message)
+            elif message.method == "INVITE":
+                self.owner.log_ignored_set_up(self, message)
 
     def _dispatch(self, messages: list[sip.Message]) -> None:
         for message in messages:
@@ -316,9 +327,21 @@
             established=events.calls_on(connection),
             peer=connection.peer,
             messages=connection.message_count,
+            unsent=connection.unsent_bytes,
             quiet_ms=round((self.loop.time() - connection.last_message_at) * 1000),
         )
 
+    def log_ignored_set_up(self, connection: CallerConnection, set_up: sip.Request) -> None:
+        """Log a set-up that arrived on a connection after this server began to close it."""
+        since = connection.closing_since
+        self.counts["set_ups_ignored"] += 1
+        self.events.log(
+            "set_up_ignored",
+            call=read_call_id(set_up),
+            peer=connection.peer,
+            closing_ms=None if since is None else round((self.loop.time() - since) * 1000),
+        )
+
     @property
     def open(self) -> int:
         """How many connections are open, including those being closed."""
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -163,7 +163,13 @@
     ) -> None:
         """Refuse a request that was never accepted."""
         self.counts[f"door.{limit}"] += 1
-        self.io.log("request_refused", call=read_call_id(message), status=status, why=limit)
+        self.io.log(
+            "request_refused",
+            call=read_call_id(message),
+            status=status,
+            why=limit,
+            caller=str(connection),
+        )
         self.io.send_to_caller(connection, sip.response(status, sip.echo(message)))
         if status == 400 and not self.pending_on(connection) and not self.established_on(connection):
             # Ordinary callers send no invalid requests. Connections that do come by the hundreds and would use up the
@@ -188,7 +194,7 @@
             # which would then have two. Neither is served, and the connection is closed.
             self.counts["door.id_twice_on_a_link"] += 1
             self.io.log("request_refused", call=set_up.call_id, status=400, why="id_twice_on_a_link")
-            self._cancel(pending, now)
+            self._cancel(pending, "id_twice_on_a_link", now)
             self.io.send_to_caller(connection, sip.response(400, sip.echo(message)))
             self.io.close_caller_connection(connection)
         elif pending is not None or set_up.call_id in self.calls:
@@ -245,14 +251,16 @@
         pending, call = self.pending_by_call_id.get(call_id), self.calls.get(call_id)
         if pending is not None and pending.connection == connection:
             self.io.send_to_caller(connection, sip.response(487, pending.echo))
-            self._cancel(pending, now)
+            self._cancel(pending, "cancelled", now)
         elif call is not None and call.connection == connection:
             # The answer was already on its way: the caller cancelled before reading it and no longer waits for it.
             self.counts["cancel_crossed_answer"] += 1
-            self.established.released_by_caller(call, now)
+            self.established.released_by_caller(call, "cancelled by its caller, across the answer", now)
             self.established.release_to_caller(call_id, CAUSE_NORMAL, connection, now)
         else:
             self.counts["strays.cancel"] += 1
+            if pending is not None or call is not None:
+                self.io.log("cancel_ignored", call=call_id, caller=str(connection))
 
     def _handle_bye(self, connection: Hashable, message: sip.Request, now: int) -> None:
         """A caller releases an established call, on any connection."""
@@ -261,10 +269,10 @@
         call, pending = self.calls.get(call_id), self.pending_by_call_id.get(call_id)
         if call is not None:
             self.releases.connection_used(connection, now)
-            self.established.released_by_caller(call, now)
+            self.established.released_by_caller(call, "released by its caller", now)
         elif pending is not None and pending.connection == connection:
             self.io.send_to_caller(connection, sip.response(487, pending.echo))
-            self._cancel(pending, now)
+            self._cancel(pending, "released", now)
         else:
             self.counts["strays.bye"] += 1
             self.releases.answered(call_id, connection)  # caller and office released at the same moment
@@ -278,7 +286,7 @@
     def caller_closed(self, connection: Hashable, now: int) -> None:
         """Cancel the pending set-ups of a caller's connection that is gone. Established calls are not tied to it."""
         for pending in list(self.pending_by_connection.get(connection, {}).values()):
-            self._cancel(pending, now)
+            self._cancel(pending, "connection_lost", now)
         self.pending_by_connection.pop(connection, None)
         self.established.caller_connection_closed(connection)
         self.releases.connection_closed(connection, now)
@@ -291,10 +299,16 @@
         """How many established calls were set up on a caller's connection."""
         return self.established.on_connection(connection)
 
-    def _cancel(self, pending: PendingCall, now: int) -> None:
-        """End a set-up whose caller no longer waits; it gets no answer."""
+    def _cancel(self, pending: PendingCall, why: str, now: int) -> None:
+        """End a set-up whose caller no longer waits; it gets no answer. `why` is for the log."""
         self.counts["answer.gone"] += 1
-        self.io.log("set_up_given_up", call=pending.call_id, attempts=pending.dial_count)
+        self.io.log(
+            "set_up_given_up",
+            call=pending.call_id,
+            why=why,
+            attempts=pending.dial_count,
+            caller=str(pending.connection),
+        )
         self._forget(pending)
         dial = pending.dial
         self.feed(ev.CallerLeft(pending.id), now)
@@ -316,6 +330,7 @@
             why=answer,
             attempts=pending.dial_count,
             sent=sent,
+            caller=str(pending.connection),
         )
         if pending.dial is not None:  # a dial is pending only after a fault in the decision module
             self._end_dial(pending.dial, now)
@@ -553,6 +568,7 @@
             attempts=pending.dial_count,
             ms=(now - dial.started_at) // 1000,
             sent=sent,
+            caller=str(pending.connection),
         )
         self.feed(ev.DialogueEstablished(pending.id, dial.number, now - dial.started_at), now)
         report = load_report(line)
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -126,10 +126,10 @@
 
     # ---- ends ----
 
-    def released_by_caller(self, call: EstablishedCall, now: int) -> None:
-        """End a call that its caller released, and notify its office."""
+    def released_by_caller(self, call: EstablishedCall, why: str, now: int) -> None:
+        """End a call that its caller released, and notify its office. `why` is for the log."""
         self._release_at_office(call, CAUSE_NORMAL, now)
-        self._end(call, DialResult.CANCELLED, OfficeReport(), now, "released by its caller")
+        self._end(call, DialResult.CANCELLED, OfficeReport(), now, why)
 
     def released_by_office(
         self, call: EstablishedCall, connection: Hashable, cause: int, report: OfficeReport, now: int
