--- a/tests/test_ended_dials.py
+++ b/tests/test_ended_dials.py
@@ -129,6 +129,21 @@
     assert [reason for _, reason in caller.byes(A)] == ["Q.850;cause=16"]
 
 
+@pytest.mark.parametrize("cause", [16, 41])
+def test_release_of_an_established_call_on_the_connection_of_an_earlier_dial_reaches_its_caller(
+    cause: int,
+) -> None:
+    # Guards against taking the release for the end of a dial that was given up seconds before (incident 0c9322).
+    world = World()
+    first_connection = world.offices[1].connections[0]
+    caller, office = redial(world)
+    office.answer(A)
+    world.run(6.2)
+    office.end_call(A, cause, connection=first_connection)
+    world.run(1.0)
+    assert len(caller.byes(A)) == 1 and A not in world.core.calls
+
+
 def test_refusal_of_the_next_dial_is_told_from_that_of_the_earlier_one() -> None:
     world = World()
     first_connection = world.offices[1].connections[0]
