Tell callers of a release that comes on the connection of an earlier dial

Since such a line was that of the earlier dial for as long as the call lasted, provided that this server took the call's own connection for open: what the endpoint takes for open is not known here, and the earlier dial had been over for seconds.

An end (not a refusal) now belongs to an earlier dial only within half a second of that dial's end; later it may be of the call, whose caller is told and whose endpoint gets a release too. That costs a call where the guess is wrong, never an end that is not told. Pending dials keep the old rule: they time out in any case.

--- a/tests/test_ended_dials.py
+++ b/tests/test_ended_dials.py
@@ -3,7 +3,7 @@
 import pytest
 from platform_world import World, invite
 
-from wellhitch.platform.ended_dials import MAX_ENDED_DIALS, EndedDials, LineOwner, line_owner
+from wellhitch.platform.ended_dials import LATE_END_US, MAX_ENDED_DIALS, EndedDials, LineOwner, line_owner
 from wellhitch.stand_ins.platform import Caller, PlatformOffice, bodyless_request
 
 A = "000000000000000a"
@@ -41,6 +41,17 @@
     assert line_owner(arrived_on, sent_on, earlier, open_connections.__contains__, may_end_call) is owner
 
 
+def test_end_that_comes_too_late_for_an_earlier_dial_may_be_of_the_call_but_a_refusal_is_not() -> None:
+    connections = ("first", "second", ("first",), {"first", "second"}.__contains__)
+    assert line_owner(*connections, may_end_call=True, earlier_may_end=False) is LineOwner.UNCERTAIN
+    assert line_owner(*connections, may_end_call=False, earlier_may_end=False) is LineOwner.EARLIER
+    ended = EndedDials(10 * SECOND)
+    ended.add("office", A, "first", SECOND)
+    assert ended.end_may_arrive("office", A, SECOND + LATE_END_US - 1)
+    assert not ended.end_may_arrive("office", A, SECOND + LATE_END_US)
+    assert not ended.end_may_arrive("another", A, SECOND)
+
+
 def test_ended_dials_are_forgotten_by_age_and_by_number() -> None:
     ended = EndedDials(10 * SECOND)
     ended.add("office", A, "first", 0)
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -529,7 +529,7 @@
                 self.counts["late_answers_released"] += 1
                 self.io.send_to_office(office, lines.release(line.call_id, CAUSE_NORMAL), connection)
             return
-        owner = self._line_owner(dial, connection, may_end_call=False)
+        owner = self._line_owner(dial, connection, False, now)
         if owner is LineOwner.EARLIER:
             # The earlier dial was released when it ended. Another release would end the later one too.
             self.counts["late_answers_ignored"] += 1
@@ -586,7 +586,8 @@
                 self.established.unknown_released(line.call_id, q850_cause, now)
             self.ended_dials.ended_by_office(office.id, line.call_id, connection)
             return
-        owner = self._line_owner(current, connection, may_end_call=q850_cause not in RESULT_BY_CAUSE)
+        may_end_call = q850_cause not in RESULT_BY_CAUSE
+        owner = self._line_owner(current, connection, may_end_call, now)
         if owner is LineOwner.EARLIER:
             self.counts["late_refusals_ignored"] += 1
             self.io.log(
@@ -610,11 +611,17 @@
             )
 
     def _line_owner(
-        self, current: PendingDial | EstablishedCall, arrived_on: Hashable, may_end_call: bool
+        self, current: PendingDial | EstablishedCall, arrived_on: Hashable, may_end_call: bool, now: int
     ) -> LineOwner:
         """Whether a line is about the pending dial or established call of its Call-ID, or about an earlier dial."""
-        sent_on = current.connection if isinstance(current, PendingDial) else current.office_connection
-        return line_owner(arrived_on, sent_on, current.earlier_connections, self.io.is_open, may_end_call)
+        earlier = current.earlier_connections
+        if isinstance(current, PendingDial):
+            return line_owner(arrived_on, current.connection, earlier, self.io.is_open, may_end_call)
+        # The caller of an established call waits for its end; a pending dial times out in any case.
+        earlier_may_end = self.ended_dials.end_may_arrive(current.office.id, current.call_id, now)
+        return line_owner(
+            arrived_on, current.office_connection, earlier, self.io.is_open, may_end_call, earlier_may_end
+        )
 
     def _dial_released(
         self, dial: PendingDial, line: lines.Line, q850_cause: int, certain: bool, now: int
--- a/wellhitch/platform/ended_dials.py
+++ b/wellhitch/platform/ended_dials.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+# From the end of a dial until its office has read the release and written its last line about it.
+LATE_END_US = 500_000
 # At all offices together. Callers cancel a few set-ups a second; bad clients could fill the memory otherwise.
 MAX_ENDED_DIALS = 16_384
 
@@ -29,18 +31,21 @@
     earlier: Collection[Hashable],
     is_open: Callable[[Hashable], bool],
     may_end_call: bool,
+    earlier_may_end: bool = True,
 ) -> LineOwner:
     """Which dial a line is about that arrived on one connection, where the current dial was sent on `sent_on` and
     the `earlier` ones on others.
 
     `may_end_call`: the line may be the release of a call that was answered, and not only an answer or a refusal. The
-    release of a call comes on any connection once the one of its set-up is closed."""
+    release of a call comes on any connection once the office takes the one of its set-up for closed, which this server
+    may not do yet: after a network interruption, for instance. `earlier_may_end`: an earlier dial was ended so
+    recently that its end may still arrive."""
     if not earlier:
         return LineOwner.CURRENT
     if arrived_on == sent_on:
         earlier_call_possible = may_end_call and not all(map(is_open, earlier))
         return LineOwner.UNCERTAIN if earlier_call_possible else LineOwner.CURRENT
-    if arrived_on in earlier and is_open(sent_on):
+    if arrived_on in earlier and is_open(sent_on) and (earlier_may_end or not may_end_call):
         return LineOwner.EARLIER
     return LineOwner.UNCERTAIN
 
@@ -68,6 +73,12 @@
         """Whether a dial or call with this Call-ID was ended at an office."""
         return (office_id, call_id) in self._entries
 
+    def end_may_arrive(self, office_id: str, call_id: str, now: int) -> bool:
+        """Whether a dial or call with this Call-ID was ended so recently that the office's end of it may still
+        arrive."""
+        entry = self._entries.get((office_id, call_id))
+        return entry is not None and now - entry.ended_at < LATE_END_US
+
     def add(self, office_id: str, call_id: str, connection: Hashable, now: int) -> None:
         """Remember a dial or call that this server ended; `connection` is the one of its set-up, None if unknown."""
         earlier = self._entries.pop((office_id, call_id), None)
