--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -1,17 +1,18 @@
-"""Connections from callers. Messages that arrive on them are passed on as `CallerEvents`.
+"""All connections from callers: the listener, the limits of time and number, and which connections yield to others.
 
-Each limit on a connection has a name under which violations are counted: `silent`, `half`, `unread`, `full`,
-`open_on_link` and those of the SIP codec.
+Each limit has a name under which violations are counted: `silent`, `half`, `idle`, `full` and those of a single
+connection (`caller_connection.py`).
 """
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, Protocol, cast
+from typing import Any
 
 from wellhitch.net.transport import Listener, Network
+from wellhitch.platform.caller_connection import CallerConnection, CallerEvents
 from wellhitch.platform.eviction import SILENT_S, ConnectionTable
-from wellhitch.platform.set_up_request import read_call_id, reports_established_call
+from wellhitch.platform.set_up_request import read_call_id
 from wellhitch.sip import codec as sip
 
 # Turns of the loop from accepting a connection until the data that came with it has been read.
@@ -27,196 +28,12 @@
 # From a message's first byte to its last, the same limit as for silence; it is shorter while draining.
 PARTIAL_MESSAGE_S = 2.0
 PARTIAL_WHILE_DRAINING_S = 0.5
-# How long, and how much, is read from a connection that is being closed. Closing with unread bytes resets the
-# connection, and the caller may lose the last answer written. The limits stop a client that never ceases to write.
+# How long a connection that is being closed is read. Closing with unread bytes resets the connection, and the caller
+# may lose the last answer written.
 LINGER_S = 1.0
-LINGER_BYTES = 256 * 1024
-# Answers that wait for a caller to read: some two hundred.
-MAX_UNSENT_BYTES = 64 * 1024
-# Pending on one connection; ordinary callers have tens.
-MAX_SET_UPS = 400
 READ_BUFFER_BYTES = 64 * 1024  # shared by all connections
 
 
-class CallerEvents(Protocol):
-    """Receives what happens on callers' connections, and knows what is pending on each."""
-
-    def message_received(self, connection: "CallerConnection", message: sip.Message) -> None:
-        """A complete message arrived."""
-
-    def connection_closing(self, connection: "CallerConnection") -> None:
-        """This server is about to close a connection; its pending set-ups are to be answered."""
-
-    def connection_closed(self, connection: "CallerConnection") -> None:
-        """A connection is gone."""
-
-    def set_ups_on(self, connection: "CallerConnection") -> int:
-        """How many set-ups are pending on a connection."""
-
-    def calls_on(self, connection: "CallerConnection") -> int:
-        """How many established calls were set up on a connection."""
-
-    def log(self, event: str, **facts: Any) -> None:
-        """Write one line of the log."""
-
-
-class CallerConnection(asyncio.BufferedProtocol):
-    """One connection from a caller."""
-
-    __slots__ = (
-        "owner",
-        "transport",
-        "decoder",
-        "last_message_at",
-        "partial_since",
-        "closing_since",
-        "discarded_bytes",
-        "message_count",
-        "peer",
-        "unreadable",
-        "__weakref__",
-    )
-
-    def __init__(self, owner: "CallerConnections") -> None:
-        self.owner = owner
-        self.transport: asyncio.Transport | None = None
-        self.decoder = sip.Decoder()
-        self.last_message_at = 0.0  # or when the connection came up
-        self.partial_since: float | None = None
-        self.closing_since: float | None = None
-        self.discarded_bytes = 0  # received while the connection is being closed
-        self.message_count = 0  # complete messages received
-        self.peer = ""  # address of the caller, for the log
-        self.unreadable = False
-
-    def __str__(self) -> str:
-        """The caller's address, by which the log names the connection."""
-        return self.peer
-
-    @property
-    def unsent_bytes(self) -> int:
-        """How much of what was written the caller has not taken yet."""
-        return 0 if self.transport is None else self.transport.get_write_buffer_size()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.last_message_at = self.owner.loop.time()
-        self.peer = str(transport.get_extra_info("peername"))
-        self.owner.opened(self)
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.owner.buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        if self.closing_since is not None:
-            self._read_while_closing(nbytes)
-            return
-        try:
-            messages = self.decoder.feed(self.owner.buffer[:nbytes])
-        except sip.BadSip as error:
-            self.unreadable = True
-            # Set-ups before the invalid bytes are not dialled: the connection closes, so their answers could not
-            # arrive.
-            self._dispatch(
-                [
-                    message
-                    for message in error.messages_before
-                    if not (isinstance(message, sip.Request) and message.method == "INVITE")
-                ]
-            )
-            self.owner.counts[f"door.{error.reason}"] += 1
-            self._refuse_and_close(error)
-            return
-        self.message_count += len(messages)
-        if messages:
-            self.owner.message_received(self)
-        self._dispatch(messages)
-        if not self.decoder.pending:
-            self.partial_since = None
-        elif self.partial_since is None or messages:
-            self.partial_since = self.owner.loop.time()
-
-    def _read_while_closing(self, nbytes: int) -> None:
-        """Handle messages that arrive after the close: releases, and reports of established calls, which need no
-        answer. A set-up can no longer be answered and is ignored."""
-        self.discarded_bytes += nbytes
-        if self.discarded_bytes > LINGER_BYTES:
-            self.owner.abort(self)
-        if self.unreadable or self.discarded_bytes > LINGER_BYTES:
-            return
-        try:
-            messages = self.decoder.feed(self.owner.buffer[:nbytes])
-        except sip.BadSip:
-            self.unreadable = True
-            return
-        for message in messages:
-            if (
-                isinstance(message, sip.Response)
-                or message.method == "BYE"
-                or reports_established_call(message)
-            ):
-                self.owner.events.message_received(self, message)
-            elif message.method == "INVITE":
-                self.owner.log_ignored_set_up(self, message)
-
-    def _dispatch(self, messages: list[sip.Message]) -> None:
-        for message in messages:
-            if self.closing_since is not None:
-                return
-            if (
-                isinstance(message, sip.Request)
-                and message.method == "INVITE"
-                and self.owner.events.set_ups_on(self) >= MAX_SET_UPS
-            ):
-                self.owner.counts["door.open_on_link"] += 1
-                self.write(sip.response(503, sip.echo(message)))
-                continue
-            self.owner.events.message_received(self, message)
-
-    def _refuse_and_close(self, error: sip.BadSip) -> None:
-        request = error.request
-        if request is None or request.method != "ACK":  # an ACK is never answered
-            status = 413 if error.reason in ("too_large", "head_too_long", "too_many_headers") else 400
-            self.write(sip.response(status, sip.echo(request) if request else ""))
-        self.close(error.reason)
-
-    def write(self, data: bytes) -> bool:
-        """Write; False where the connection is closed or closing."""
-        transport = self.transport
-        if transport is None or self.closing_since is not None or transport.is_closing():
-            return False
-        transport.write(data)
-        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self.owner.counts["door.unread"] += 1
-            self.owner.log_close(self, "unread")
-            self.closing_since = self.owner.loop.time()
-            transport.abort()
-        return True
-
-    def close(self, why: str) -> None:
-        """Close once the written data is sent and the caller has closed too. `why` is for the log."""
-        if self.closing_since is not None:
-            return
-        self.owner.log_close(self, why)
-        self.owner.events.connection_closing(self)
-        self.closing_since = self.owner.loop.time()
-        self.owner.table.closing_started(self, self.closing_since)
-        if self.transport is None:
-            return
-        try:
-            self.transport.write_eof()
-        except OSError:  # the caller has reset the connection
-            self.transport.abort()
-
-    def eof_received(self) -> bool:
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if self.closing_since is None:
-            self.closing_since = self.owner.loop.time()
-        self.owner.lost(self)
-
-
 class CallerConnections:
     """All connections from callers: at most `limit`, and `new_capacity` more while new ones have not been read yet."""
 
@@ -301,6 +118,10 @@
         if connection.closing_since is None:
             self.table.message_received(connection, connection.last_message_at)
 
+    def closing_started(self, connection: CallerConnection) -> None:
+        """See `ConnectionOwner`."""
+        self.table.closing_started(connection, self.loop.time())
+
     def abort(self, connection: CallerConnection) -> None:
         """Reset a connection at once."""
         # It stops counting here: asyncio reports the loss only in the next turn, and a burst brings hundreds of
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -8,7 +8,8 @@
 from wellhitch.board.codec import Update
 from wellhitch.net.transport import DatagramSender, Network, Timer, now_us
 from wellhitch.office_lines.codec import Line
-from wellhitch.platform.callers import CallerConnection, CallerConnections
+from wellhitch.platform.caller_connection import CallerConnection
+from wellhitch.platform.callers import CallerConnections
 from wellhitch.platform.configuration import Configuration
 from wellhitch.platform.core import Core
 from wellhitch.platform.discovery import DiscoveryClient
