Answer what has arrived on a caller's connection before closing it

A set-up got no answer that waited in the kernel, or stood behind a refused request in the same chunk, when this server decided to close its connection: the decision ended the sending side at once, and set-ups read afterwards were ignored. Callers send such a set-up again only if the end comes within 50 ms; a loop that is late by more loses it. A BYE in the rest of a chunk was dropped as well, and its call stood on.

The sending side now ends two turns of the loop after the decision, when everything that had arrived is read; set-ups read until then are refused with 503, and the rest of a chunk counts as read. After that they can't be answered and are logged (set_up_ignored).

--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
 from wellhitch.platform.set_up_request import reports_established_call
@@ -70,8 +71,11 @@
     def log_close(self, connection: CallerConnection, why: str) -> None:
         """Log why this server closes a connection."""
 
-    def log_ignored_set_up(self, connection: CallerConnection, set_up: sip.Request) -> None:
-        """Log a set-up that arrived on a connection after this server began to close it."""
+    def set_up_while_closing(self, connection: CallerConnection, set_up: sip.Request, answered: bool) -> None:
+        """A set-up was read after the decision to close, and was refused if it was `answered`."""
+
+    def after_reading(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once all that has arrived by now on any connection is read."""
 
 
 class CallerConnection(asyncio.BufferedProtocol):
@@ -84,6 +88,7 @@
         "last_message_at",
         "partial_since",
         "closing_since",
+        "write_ended",
         "discarded_bytes",
         "message_count",
         "peer",
@@ -97,7 +102,10 @@
         self.decoder = sip.Decoder()
         self.last_message_at = 0.0  # or when the connection came up
         self.partial_since: float | None = None
-        self.closing_since: float | None = None
+        self.closing_since: float | None = (
+            None  # when this server decided to close, or the connection was lost
+        )
+        self.write_ended = False  # nothing more can be written
         self.discarded_bytes = 0  # received while the connection is being closed
         self.message_count = 0  # complete messages received
         self.peer = ""  # address of the caller, for the log
@@ -151,8 +159,7 @@
             self.partial_since = self.owner.loop.time()
 
     def _read_while_closing(self, nbytes: int) -> None:
-        """Handle messages that arrive after the close: releases, and reports of established calls, which need no
-        answer. A set-up can no longer be answered and is ignored."""
+        """Read on after the decision to close: what ends a call counts on any connection."""
         self.discarded_bytes += nbytes
         if self.discarded_bytes > LINGER_BYTES:
             self.owner.abort(self)
@@ -163,29 +170,30 @@
         except sip.BadSip:
             self.unreadable = True
             return
-        for message in messages:
-            if (
-                isinstance(message, sip.Response)
-                or message.method == "BYE"
-                or reports_established_call(message)
-            ):
-                self.owner.events.message_received(self, message)
-            elif message.method == "INVITE":
-                self.owner.log_ignored_set_up(self, message)
+        self._dispatch(messages)
+
+    def _receive_while_closing(self, message: sip.Message) -> None:
+        """Handle a message that was read after the decision to close. A set-up is refused as long as an answer can be
+        written."""
+        if isinstance(message, sip.Response) or message.method == "BYE" or reports_established_call(message):
+            self.owner.events.message_received(self, message)
+        elif message.method == "INVITE":
+            answered = not self.write_ended and self._write_any(sip.response(503, sip.echo(message)))
+            self.owner.set_up_while_closing(self, message, answered)
 
     def _dispatch(self, messages: list[sip.Message]) -> None:
         for message in messages:
             if self.closing_since is not None:
-                return
-            if (
+                self._receive_while_closing(message)
+            elif (
                 isinstance(message, sip.Request)
                 and message.method == "INVITE"
                 and self.owner.events.set_ups_on(self) >= MAX_SET_UPS
             ):
                 self.owner.counts["door.open_on_link"] += 1
                 self.write(sip.response(503, sip.echo(message)))
-                continue
-            self.owner.events.message_received(self, message)
+            else:
+                self.owner.events.message_received(self, message)
 
     def _refuse_and_close(self, error: sip.BadSip) -> None:
         request = error.request
@@ -196,8 +204,11 @@
 
     def write(self, data: bytes) -> bool:
         """Write; False where the connection is closed or closing."""
+        return self.closing_since is None and self._write_any(data)
+
+    def _write_any(self, data: bytes) -> bool:
         transport = self.transport
-        if transport is None or self.closing_since is not None or transport.is_closing():
+        if transport is None or transport.is_closing():
             return False
         transport.write(data)
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
@@ -208,14 +219,19 @@
         return True
 
     def close(self, why: str) -> None:
-        """Close once the written data is sent and the caller has closed too. `why` is for the log."""
+        """Answer the pending set-ups and those that have arrived, then close once the written data is sent and the
+        caller has closed too. `why` is for the log."""
         if self.closing_since is not None:
             return
         self.owner.log_close(self, why)
         self.owner.events.connection_closing(self)
         self.closing_since = self.owner.loop.time()
         self.owner.closing_started(self)
-        if self.transport is None:
+        self.owner.after_reading(self._end_writing)
+
+    def _end_writing(self) -> None:
+        self.write_ended = True
+        if self.transport is None or self.transport.is_closing():
             return
         try:
             self.transport.write_eof()
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -15,7 +15,7 @@
 from wellhitch.platform.set_up_request import read_call_id
 from wellhitch.sip import codec as sip
 
-# Turns of the loop from accepting a connection until the data that came with it has been read.
+# Turns of the loop until all data has been read that has arrived by now, also on a connection just accepted.
 READING_TURNS = 2
 # Between attempts to evict connections while new ones wait; a fraction of the time a new one has for its first message.
 EVICTION_RETRY_S = 0.005
@@ -71,7 +71,11 @@
         if self._over_limit:
             if self.open > self.limit + self.new_capacity and self.listener is not None:
                 self.listener.pause()
-            self._after_turns(READING_TURNS, self._evict)
+            self.after_reading(self._evict)
+
+    def after_reading(self, callback: Callable[[], None]) -> None:
+        """See `ConnectionOwner`."""
+        self._after_turns(READING_TURNS, callback)
 
     def _after_turns(self, turns: int, callback: Callable[[], None]) -> None:
         """Call `callback` after a number of turns of the loop."""
@@ -152,14 +156,15 @@
             quiet_ms=round((self.loop.time() - connection.last_message_at) * 1000),
         )
 
-    def log_ignored_set_up(self, connection: CallerConnection, set_up: sip.Request) -> None:
-        """Log a set-up that arrived on a connection after this server began to close it."""
+    def set_up_while_closing(self, connection: CallerConnection, set_up: sip.Request, answered: bool) -> None:
+        """See `ConnectionOwner`."""
         since = connection.closing_since
-        self.counts["set_ups_ignored"] += 1
+        self.counts["door.closing" if answered else "set_ups_ignored"] += 1
         self.events.log(
-            "set_up_ignored",
+            "request_refused" if answered else "set_up_ignored",
             call=read_call_id(set_up),
-            peer=connection.peer,
+            why="closing",
+            caller=connection.peer,
             closing_ms=None if since is None else round((self.loop.time() - since) * 1000),
         )
 
