Refuse set-ups that stand before invalid bytes in one chunk

A set-up got no answer where invalid bytes followed it in the same chunk: it was dropped, as its connection was going to close. In another chunk it would have been answered. It is refused with 503 now, and never dialled; reports of established calls in that chunk count too.

--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, Protocol, cast
+from typing import Any, Protocol, TypeGuard, cast
 
 from wellhitch.platform.set_up_request import reports_established_call
 from wellhitch.sip import codec as sip
@@ -137,17 +137,7 @@
             messages = self.decoder.feed(self.owner.buffer[:nbytes])
         except sip.BadSip as error:
             self.unreadable = True
-            # Set-ups before the invalid bytes are not dialled: the connection closes, so their answers could not
-            # arrive.
-            self._dispatch(
-                [
-                    message
-                    for message in error.messages_before
-                    if not (isinstance(message, sip.Request) and message.method == "INVITE")
-                ]
-            )
-            self.owner.counts[f"door.{error.reason}"] += 1
-            self._refuse_and_close(error)
+            self._invalid_bytes_received(error)
             return
         self.message_count += len(messages)
         if messages:
@@ -173,13 +163,18 @@
         self._dispatch(messages)
 
     def _receive_while_closing(self, message: sip.Message) -> None:
-        """Handle a message that was read after the decision to close. A set-up is refused as long as an answer can be
-        written."""
-        if isinstance(message, sip.Response) or message.method == "BYE" or reports_established_call(message):
+        """Handle a message that was read after the decision to close."""
+        if _is_set_up(message):
+            self._refuse_set_up(message)
+        elif (
+            isinstance(message, sip.Response) or message.method == "BYE" or reports_established_call(message)
+        ):
             self.owner.events.message_received(self, message)
-        elif message.method == "INVITE":
-            answered = not self.write_ended and self._write_any(sip.response(503, sip.echo(message)))
-            self.owner.set_up_while_closing(self, message, answered)
+
+    def _refuse_set_up(self, set_up: sip.Request) -> None:
+        """Refuse a set-up on a connection that is about to close, as long as an answer can be written."""
+        answered = not self.write_ended and self._write_any(sip.response(503, sip.echo(set_up)))
+        self.owner.set_up_while_closing(self, set_up, answered)
 
     def _dispatch(self, messages: list[sip.Message]) -> None:
         for message in messages:
@@ -195,7 +190,14 @@
             else:
                 self.owner.events.message_received(self, message)
 
-    def _refuse_and_close(self, error: sip.BadSip) -> None:
+    def _invalid_bytes_received(self, error: sip.BadSip) -> None:
+        """Refuse the set-ups before the invalid bytes, as the connection closes before an office could answer."""
+        self.owner.counts[f"door.{error.reason}"] += 1
+        for message in error.messages_before:
+            if _is_set_up(message):
+                self._refuse_set_up(message)
+            else:
+                self.owner.events.message_received(self, message)
         request = error.request
         if request is None or request.method != "ACK":  # an ACK is never answered
             status = 413 if error.reason in ("too_large", "head_too_long", "too_many_headers") else 400
@@ -245,3 +247,12 @@
         if self.closing_since is None:
             self.closing_since = self.owner.loop.time()
         self.owner.lost(self)
+
+
+def _is_set_up(message: sip.Message) -> TypeGuard[sip.Request]:
+    """Whether a message is a set-up, which needs an answer; a report of an established call is none."""
+    return (
+        isinstance(message, sip.Request)
+        and message.method == "INVITE"
+        and not reports_established_call(message)
+    )
