Heed a CANCEL that crosses both the answer and the close of its connection

A call stood on at its office whose caller had cancelled it before it read the answer, if this server was closing the connection: of what was read then, only releases and reports counted.

--- a/tests/test_platform_closing.py
+++ b/tests/test_platform_closing.py
@@ -136,6 +136,17 @@
     ] == [A]
 
 
+def test_cancel_that_crosses_answer_and_close_releases_the_call_at_its_office() -> None:
+    world = World()
+    caller = world.establish(A)
+    next(iter(world.service.callers.table.active)).close("full")
+    caller.send(bodyless_request("CANCEL", A))
+    world.run(0.1)
+    assert A not in world.core.calls and [
+        line.call_id for line in world.offices[1].lines_of_type("down")
+    ] == [A]
+
+
 def test_set_up_in_one_chunk_with_invalid_bytes_is_refused_with_an_answer() -> None:
     world = World()
     caller = world.caller()
--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -17,6 +17,8 @@
 
 # How much is read from a connection that is being closed; the limit stops a client that never ceases to write.
 LINGER_BYTES = 256 * 1024
+# Ends of calls, and reports of established ones; they count although no answer can be written.
+METHODS_READ_TO_THE_END = frozenset(("BYE", "CANCEL", "INVITE"))
 # Answers that wait for a caller to read: some two hundred.
 MAX_UNSENT_BYTES = 64 * 1024
 # Pending on one connection; ordinary callers have tens.
@@ -166,9 +168,7 @@
         """Handle a message that was read after the decision to close."""
         if _is_set_up(message):
             self._refuse_set_up(message)
-        elif (
-            isinstance(message, sip.Response) or message.method == "BYE" or reports_established_call(message)
-        ):
+        elif isinstance(message, sip.Response) or message.method in METHODS_READ_TO_THE_END:
             self.owner.events.message_received(self, message)
 
     def _refuse_set_up(self, set_up: sip.Request) -> None:
