Count a caller's connection as idle only from its last use, and not amid a message

A connection was closed as idle 6 s after its last message: at once when a call of over six seconds ended whose release the caller did not answer (it need not), and in the middle of a set-up that came in parts. Callers use such a connection for four more seconds, so their next set-up could cross the close. Idle time now begins with the last message, set-up or call, and a message that is being received keeps the connection: 2 s from its first byte, and a first message 2.5 s from the connection's start, within the three seconds that a bad client may wait.

--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -88,6 +88,7 @@
         "transport",
         "decoder",
         "last_message_at",
+        "last_used_at",
         "partial_since",
         "closing_since",
         "write_ended",
@@ -103,6 +104,7 @@
         self.transport: asyncio.Transport | None = None
         self.decoder = sip.Decoder()
         self.last_message_at = 0.0  # or when the connection came up
+        self.last_used_at = 0.0  # the same, or when it was last seen with a set-up or a call
         self.partial_since: float | None = None
         self.closing_since: float | None = (
             None  # when this server decided to close, or the connection was lost
@@ -124,7 +126,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.last_message_at = self.owner.loop.time()
+        self.last_message_at = self.last_used_at = self.owner.loop.time()
         self.peer = str(transport.get_extra_info("peername"))
         self.owner.opened(self)
 
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -21,9 +21,10 @@
 EVICTION_RETRY_S = 0.005
 # Between checks for overdue connections; an eighth of the shortest limit.
 SWEEP_INTERVAL_S = 0.25
-# Without a complete message. Callers expect a refusal or a close within three seconds.
+# Without any message, and until the first one is complete. Callers expect a refusal or a close within three seconds.
 SILENT_LIMIT_S = 2.0
-# Without a pending set-up or a call. Ordinary callers close an idle connection after four seconds.
+FIRST_MESSAGE_LIMIT_S = 2.5
+# From the last message, set-up or call, without another. Ordinary callers close an idle connection after four seconds.
 IDLE_LIMIT_S = 6.0
 # From a message's first byte to its last, the same limit as for silence; it is shorter while draining.
 PARTIAL_MESSAGE_S = 2.0
@@ -118,7 +119,7 @@
 
     def message_received(self, connection: CallerConnection) -> None:
         """Note the time of a complete message: connections that were quiet longer are evicted first."""
-        connection.last_message_at = self.loop.time()
+        connection.last_message_at = connection.last_used_at = self.loop.time()
         if connection.closing_since is None:
             self.table.message_received(connection, connection.last_message_at)
 
@@ -181,23 +182,29 @@
             if connection.closing_since is not None and now - connection.closing_since > LINGER_S:
                 self.abort(connection)
         for connection in [*self.table.silent, *self.table.active]:
-            if connection.partial_since is not None and now - connection.partial_since > PARTIAL_MESSAGE_S:
-                if self.events.set_ups_on(connection):
-                    continue  # a slow writer; its pending set-ups are answered first
-                self.counts["door.half"] += 1
+            limit = self._exceeded_limit(connection, now)
+            if limit is None:
+                continue
+            self.counts[f"door.{limit}"] += 1
+            if limit == "half":
                 connection.write(sip.response(408, ""))
-                connection.close("half")
-            elif connection in self.table.silent:
-                if now - connection.last_message_at > SILENT_LIMIT_S:
-                    self.counts["door.silent"] += 1
-                    connection.close("silent")
-            elif (
-                now - connection.last_message_at > IDLE_LIMIT_S
-                and not self.events.set_ups_on(connection)
-                and not self.events.calls_on(connection)
-            ):
-                self.counts["door.idle"] += 1
-                connection.close("idle")
+            connection.close(limit)
+
+    def _exceeded_limit(self, connection: CallerConnection, now: float) -> str | None:
+        """The name of the time limit that a connection has exceeded, if any."""
+        if self.events.set_ups_on(connection) or self.events.calls_on(connection):
+            connection.last_used_at = now
+        if connection.partial_since is not None:
+            # A slow writer's pending set-ups are answered first.
+            overdue = now - connection.partial_since > PARTIAL_MESSAGE_S
+            if overdue and not self.events.set_ups_on(connection):
+                return "half"
+            if connection in self.table.silent and now - connection.last_used_at > FIRST_MESSAGE_LIMIT_S:
+                return "half"
+            return None
+        if connection in self.table.silent:
+            return "silent" if now - connection.last_used_at > SILENT_LIMIT_S else None
+        return "idle" if now - connection.last_used_at > IDLE_LIMIT_S else None
 
     def close_unused(self) -> None:
         """While draining, close each connection without pending set-ups, calls or a partly received message."""
