Release a call at its office if its answer can't be written to the caller

A call stood at its office with nobody who knew of it, if the answer came in the turn of the loop in which the end of its caller's connection was read: the answer could not be written, and the call was kept as established. It is released now, as after a CANCEL that crosses the answer.

--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -546,19 +546,17 @@
         pending = dial.call
         self._forget_dial(dial)
         self._forget(pending)
-        self.established.add(
-            EstablishedCall(
-                pending.call_id,
-                office,
-                pending.connection,
-                pending.id,
-                dial.number,
-                now,
-                dial.connection,
-                dial.earlier_connections,
-            ),
-            connection,
+        call = EstablishedCall(
+            pending.call_id,
+            office,
+            pending.connection,
+            pending.id,
+            dial.number,
+            now,
+            dial.connection,
+            dial.earlier_connections,
         )
+        self.established.add(call, connection)
         self.counts["answer.stands"] += 1
         sent = self.io.send_to_caller(pending.connection, sip.response(200, pending.echo, body))
         self.io.log(
@@ -571,6 +569,8 @@
             caller=str(pending.connection),
         )
         self.feed(ev.DialogueEstablished(pending.id, dial.number, now - dial.started_at), now)
+        if not sent:  # the caller's connection ended meanwhile, and nobody would know of the call
+            self.established.released_by_caller(call, "its caller left before the answer", now)
         report = load_report(line)
         if report != EMPTY_REPORT:
             self.feed(ev.OfficeReported(office.id, False, True, report), now)
