Trials: clients that are cut off, reset or write in batches, and call servers that pause

The trials had faults of endpoints and discovery only; what crosses a caller's connection was untested.

--- a/tests/test_trial_verdicts.py
+++ b/tests/test_trial_verdicts.py
@@ -11,7 +11,7 @@
 
 
 def recorded(time_s: float, kind: EventKind, **overrides: object) -> Record:
-    call_id = "" if kind.name.startswith(("SERVER", "STATE", "ENDPOINT")) else CALL
+    call_id = "" if kind.name.startswith(("SERVER", "STATE", "ENDPOINT", "CUT", "RESTORED")) else CALL
     fields: dict[str, object] = {"call_id": call_id, "server": SERVER, "endpoint": ENDPOINT}
     return Record(time_s, kind, **(fields | overrides))  # type: ignore[arg-type]
 
@@ -56,6 +56,26 @@
         recorded(1.31, EventKind.SETUP_RECEIVED, endpoint=OTHER),
         REJECTED,
     ],
+    "an earlier call of the same id ended and was released at the endpoint": [
+        SENT,
+        recorded(1.01, EventKind.SETUP_RECEIVED),
+        recorded(1.02, EventKind.ESTABLISHED),
+        recorded(1.2, EventKind.CALL_ENDED, status=16),
+        recorded(1.22, EventKind.RELEASED_BY_SERVER, status=16),
+        recorded(1.43, EventKind.SETUP_RECEIVED),
+        recorded(1.45, EventKind.ESTABLISHED),
+        recorded(1.5, EventKind.ANSWERED, status=200, detail=f"{ENDPOINT} {CALL}"),
+        recorded(1.6, EventKind.RELEASE_SENT, status=16),
+        CALL_ENDED,
+        RELEASE,
+        release_received(3.9),
+    ],
+    "answer held back by a cut-off of the clients": [
+        SENT,
+        recorded(1.01, EventKind.CUT_OFF),
+        recorded(3, EventKind.RESTORED),
+        recorded(3, EventKind.ANSWERED, status=503),
+    ],
     "ended after SIGTERM": [recorded(2, EventKind.SERVER_TERMINATED), recorded(3, EventKind.SERVER_ENDED)],
     "set-up to a draining endpoint within the grace": [
         *SERVED,
@@ -73,6 +93,25 @@
 
 
 VIOLATIONS: dict[str, tuple[str, list[Record]]] = {
+    "the answered call ended just before its answer was read": (
+        "unreported",
+        [
+            SENT,
+            recorded(1.02, EventKind.ESTABLISHED),
+            recorded(1.03, EventKind.CALL_ENDED, status=16),
+            recorded(1.03, EventKind.RELEASE_SENT, status=16),
+            recorded(1.04, EventKind.ANSWERED, status=200, detail=f"{ENDPOINT} {CALL}"),
+        ],
+    ),
+    "answered too late after a cut-off of the clients": (
+        "lost",
+        [
+            SENT,
+            recorded(1.01, EventKind.CUT_OFF),
+            recorded(3, EventKind.RESTORED),
+            recorded(3.2, EventKind.ANSWERED, status=503),
+        ],
+    ),
     "no answer": ("lost", [SENT]),
     "late answer": ("lost", [SENT, recorded(2.8, EventKind.ANSWERED, status=503)]),
     "second answer": ("lost", [SENT, REJECTED, recorded(1.2, EventKind.ANSWERED, status=500)]),
--- a/wellhitch/lab/trials/client.py
+++ b/wellhitch/lab/trials/client.py
@@ -1,8 +1,8 @@
-"""Clients of one call server on real sockets: well-behaved ones, whose requests are checked, and bad ones, which only
-load the server."""
+"""The well-behaved clients of one call server on real sockets, whose requests are checked."""
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -15,6 +15,8 @@
 CLOSE_RACE_S = 0.05  # set-ups sent this shortly before a close are sent once more on a new connection
 MAX_CONNECTIONS = 8
 FRAGMENT_GAP_S = 0.005
+FRAGMENTED_SHARE = 0.5  # of the set-ups of clients that write in parts
+BATCH_SHARE = 0.3  # of the set-ups of clients that write several at once
 REPORT_ATTEMPTS = 20
 REPORT_RETRY_S = 0.05
 CLOSE_RACE = "close race"
@@ -28,6 +30,8 @@
     FRAGMENTED = auto()  # set-ups are written in parts some milliseconds apart
     CANCELS_EARLY = auto()  # some set-ups are cancelled before their deadline
     RETRIES_AT_ONCE = auto()  # a rejected set-up is retried at once
+    BATCHES = auto()  # several set-ups are written at once, the first sometimes with no time left
+    SILENT = auto()  # releases are not answered
 
 
 @dataclass(eq=False, slots=True)
@@ -53,14 +57,15 @@
     has_received: bool = False  # data has arrived on the connection
     queued: bytearray = field(default_factory=bytearray)  # messages to be written after the current set-up
 
-    def write(self, message: bytes) -> bool:
-        """Write a message, or queue it behind a set-up that is written in parts; False if the connection has ended."""
+    def write(self, message: bytes, on_sent: Callable[[], None] | None = None) -> bool:
+        """Write a message, or queue it behind a set-up that is written in parts; False if the connection has ended.
+        `on_sent` is called once the last byte of a message that is not queued is on its way."""
         if self.writing_fragments and not self.connection.ended:
             self.queued += message
             return True
-        return self.connection.write(message)
+        return self.connection.write(message, on_sent)
 
-    async def write_fragments(self, message: bytes) -> bool:
+    async def write_fragments(self, message: bytes, on_sent: Callable[[], None]) -> bool:
         """Write a message in three parts some milliseconds apart; False if the connection has ended."""
         self.writing_fragments = True
         third = len(message) // 3
@@ -68,7 +73,7 @@
         await asyncio.sleep(FRAGMENT_GAP_S)
         self.connection.write(message[third : 2 * third])
         await asyncio.sleep(FRAGMENT_GAP_S)
-        written = self.connection.write(message[2 * third :])
+        written = self.connection.write(message[2 * third :], on_sent)
         self.writing_fragments = False
         queued, self.queued = bytes(self.queued), bytearray()
         if queued:
@@ -95,7 +100,7 @@
         self.classes, self.destinations = classes, destinations
         self.traits: set[ClientTrait] = set()
         self.no_new_connections = False
-        self.paused = False
+        self.is_cut_off = False
         self.sessions: dict[_Session, None] = {}
         self.established_calls: dict[str, str] = {}  # call id -> id of the endpoint that answered
         self._tasks: set[asyncio.Task[None]] = set()
@@ -104,10 +109,18 @@
     # ---- traffic ----
 
     def start_call(self) -> None:
-        """Send one new set-up."""
+        """Send one new set-up, or several at once."""
+        request = self._new_request((1.0, 1.0, 0.6))
+        if ClientTrait.BATCHES in self.traits and self.rng.random() < BATCH_SHARE:
+            self._spawn(self._send(self._new_request((0.0, 0.6)), request, self._new_request((1.0,))))
+        else:
+            self._spawn(self._send(request))
+
+    def _new_request(self, deadline_shares: tuple[float, ...]) -> _Request:
+        """A set-up of a random class, with one of some shares of its deadline left."""
         call_id = f"{self.rng.getrandbits(64):016x}"
         class_name = self.rng.choice(sorted(self.classes))
-        deadline_s = self.classes[class_name] * self.rng.choice((1.0, 1.0, 0.6))
+        deadline_s = self.classes[class_name] * self.rng.choice(deadline_shares)
         message = invite(
             call_id,
             self.rng.choice(self.destinations),
@@ -117,7 +130,7 @@
             key=f"{self.rng.getrandbits(64):016x}",
         )
         retries = 3 if ClientTrait.RETRIES_AT_ONCE in self.traits else 0
-        self._spawn(self._send(_Request(call_id, 0.0, deadline_s, False, message, retries)))
+        return _Request(call_id, 0.0, deadline_s, False, message, retries)
 
     def release_random_call(self) -> None:
         """Release one established call, on the first open connection."""
@@ -145,11 +158,38 @@
             session.connection.close()
         self.sessions.clear()
 
+    # ---- faults ----
+
+    def cut_off(self) -> None:
+        """The network to the call server holds everything back until `restore`."""
+        self.is_cut_off = True
+        self._record(EventKind.CUT_OFF, "")
+        for session in self.sessions:
+            session.connection.freeze()
+
+    def restore(self) -> None:
+        """The network carries data again; what was held back arrives at once."""
+        self.is_cut_off = False
+        self._record(EventKind.RESTORED, "")
+        for session in list(self.sessions):
+            session.connection.thaw()
+
+    def reset_connection(self) -> None:
+        """Reset one connection. Its clients give up their pending set-ups; their calls are not tied to it."""
+        if not self.sessions or self.is_cut_off:
+            return
+        session = self.rng.choice(list(self.sessions))
+        for request in session.pending.values():
+            self._record(EventKind.CANCELLED, request.call_id, detail="reset")
+        session.pending.clear()
+        session.connection.reset()
+
     def close_idle(self) -> None:
         """Close the connections that have had no call and no traffic for `IDLE_CLOSE_S`."""
         now = self.loop.time()
         for session in list(self.sessions):
-            if not session.pending and not session.established and now - session.last_used > IDLE_CLOSE_S:
+            idle = not session.pending and not session.established and not session.connection.frozen
+            if idle and now - session.last_used > IDLE_CLOSE_S:
                 session.connection.close()
 
     # ---- connections and messages ----
@@ -170,7 +210,7 @@
             return self.rng.choice(free)
         if usable and (self.no_new_connections or len(usable) + self._opening >= MAX_CONNECTIONS):
             return self.rng.choice(usable)
-        if self.no_new_connections:
+        if self.no_new_connections or self.is_cut_off:
             return None
         self._opening += 1
         connection = await open_connection(self.loop, self.address)
@@ -181,25 +221,39 @@
         connection.on_data = lambda data: self._read(session, data)
         connection.on_end = lambda: self._connection_ended(session)
         self.sessions[session] = None
+        if self.is_cut_off:
+            connection.freeze()
         connection.start()
         return session
 
-    async def _send(self, request: _Request) -> None:
+    async def _send(self, *requests: _Request) -> None:
+        """Send set-ups in one write, or a single one in parts."""
         session = await self._usable_session()
         if session is None:
             return
-        if ClientTrait.FRAGMENTED in self.traits and not session.pending and self.rng.random() < 0.5:
-            written = await session.write_fragments(request.message)
+        for request in requests:
+            session.pending[request.call_id] = request
+        message = b"".join(request.message for request in requests)
+        if (
+            ClientTrait.FRAGMENTED in self.traits
+            and len(session.pending) == 1
+            and self.rng.random() < FRAGMENTED_SHARE
+        ):
+            written = await session.write_fragments(message, lambda: self._sent(session, requests))
         else:
-            written = session.write(request.message)
+            written = session.write(message, lambda: self._sent(session, requests))
         if not written:
-            return
-        request.sent_at = session.last_used = self.loop.time()
-        session.pending[request.call_id] = request
-        self._record(EventKind.REQUEST_SENT, request.call_id, detail=f"{request.deadline_s}")
-        if ClientTrait.CANCELS_EARLY in self.traits and self.rng.random() < 0.2:
-            delay_s = request.deadline_s * self.rng.uniform(0.01, 0.5)
-            self.loop.call_later(delay_s, self._cancel, session, request)
+            for request in requests:
+                session.pending.pop(request.call_id, None)
+
+    def _sent(self, session: _Session, requests: tuple[_Request, ...]) -> None:
+        """The last byte of some set-ups is on its way to the call server."""
+        for request in requests:
+            request.sent_at = session.last_used = self.loop.time()
+            self._record(EventKind.REQUEST_SENT, request.call_id, detail=f"{request.deadline_s}")
+            if ClientTrait.CANCELS_EARLY in self.traits and self.rng.random() < 0.2:
+                delay_s = request.deadline_s * self.rng.uniform(0.01, 0.5)
+                self.loop.call_later(delay_s, self._cancel, session, request)
 
     def _cancel(self, session: _Session, request: _Request) -> None:
         if session.pending.pop(request.call_id, None) is not None and session.write(
@@ -220,7 +274,8 @@
         if message.method != "BYE":
             return
         call_id = message.headers.get("call-id", "")
-        session.write(sip.response(200, sip.echo(message)))
+        if ClientTrait.SILENT not in self.traits:
+            session.write(sip.response(200, sip.echo(message)))
         self._record(EventKind.RELEASE_RECEIVED, call_id, detail=message.headers.get("reason", ""))
         self._forget_call(call_id)
 
@@ -247,10 +302,11 @@
     def _connection_ended(self, session: _Session) -> None:
         self.sessions.pop(session, None)
         now = self.loop.time()
-        recent = [request for request in session.pending.values() if now - request.sent_at <= CLOSE_RACE_S]
+        sent = [request for request in session.pending.values() if request.sent_at]
+        recent = [request for request in sent if now - request.sent_at <= CLOSE_RACE_S]
         # An older unanswered set-up shows that the call server did not close the connection for being idle.
-        is_close_race = len(recent) == len(session.pending)
-        for request in session.pending.values():
+        is_close_race = len(recent) == len(sent)
+        for request in sent:
             detail = CLOSE_RACE if is_close_race else "" if session.has_received else NOTHING_RECEIVED
             self._record(EventKind.CONNECTION_ENDED, request.call_id, detail=detail)
             if is_close_race and not request.resent:
@@ -282,28 +338,3 @@
 
     def _record(self, kind: EventKind, call_id: str, status: int = 0, detail: str = "") -> None:
         self.records.add(Record(self.loop.time(), kind, call_id, self.server, status=status, detail=detail))
-
-
-MALFORMED_MESSAGES = (
-    b"\x00\xff noise \r\n\r\n",
-    b"INVITE sip:abc@net SIP/2.0\r\nContent-Length: -5\r\n\r\n",
-    b"INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nCall-ID: zz\r\nContent-Length: 0\r\n\r\n",
-    b"INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nContent-Length: 62914560\r\n\r\n" + b"x" * 200_000,
-    b"INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVI",
-)
-
-
-async def bad_client(
-    loop: asyncio.AbstractEventLoop, rng: random.Random, address: str, max_stay_s: float
-) -> None:
-    """Connect, send a malformed message or nothing, and close after a random time of up to `max_stay_s`."""
-    connection = await open_connection(loop, address)
-    if connection is None:
-        return
-    connection.start()
-    if rng.random() < 0.7:
-        connection.write(rng.choice(MALFORMED_MESSAGES))
-    if rng.random() < 0.3:
-        connection.half_close()
-    await asyncio.sleep(max_stay_s * rng.random())
-    connection.close()
--- a/wellhitch/lab/trials/fleet.py
+++ b/wellhitch/lab/trials/fleet.py
@@ -5,71 +5,30 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 from wellhitch.lab.loopback import allocate_loopback_address, process_loopback_host
-from wellhitch.lab.trials.client import Clients, ClientTrait, bad_client
+from wellhitch.lab.trials.bad_client import bad_client
+from wellhitch.lab.trials.client import Clients, ClientTrait
 from wellhitch.lab.trials.discovery import Discovery, EndpointEntry, EndpointState
 from wellhitch.lab.trials.endpoint import Endpoint, EndpointTraits
 from wellhitch.lab.trials.plan import Action, FaultKind, TrialPlan, TrialStep
 from wellhitch.lab.trials.process import CallServer, earliest_kill_s
 from wellhitch.lab.trials.records import EventKind, Lag, Record, Records
+from wellhitch.lab.trials.settings import CLASSES, settings_for
 from wellhitch.lab.trials.sockets import open_connection
 from wellhitch.stand_ins.platform import bodyless_request
 
 READY_TIMEOUT_S = 30.0
 SETTLE_TIME_S = 9.5  # after the last step and the traffic: all ended calls are reported by then
 NEW_CONNECTIONS_AFTER_TERM_S = (0.2, 0.4)  # range of the time in which clients still open connections
-RELEASE_WAIT_S = 0.2
-DRAIN_GRACE_S = 0.25
-CLASSES = ("quick", "patient")
 FRAGMENT_BYTES = 20
 LAG_SAMPLE_S = 0.02  # between measurements of the event loop's delay
 MIN_RECORDED_LAG_S = 0.01
 BURST_SETUPS = 60  # sent at once together with a crowd's connections
+PAUSE_S = (0.02, 0.3)  # range of the time for which a call server is stopped
 MAX_CROWD_LEAD_S = 0.03  # between a crowd's first connection and the first call report
 
 
-def settings_for(plan: TrialPlan, cell: int) -> dict[str, Any]:
-    """The settings in the form in which the platform writes them."""
-    return {
-        "balancers": plan.servers,
-        "classes": [
-            {
-                "name": name,
-                "importance": 1.0,
-                "late_value": 0.25,
-                "objective_ns": int(deadline * 3e8),
-                "deadline_ns": int(deadline * 1e9),
-                "semantics": "retryable",
-                "group": "all",
-            }
-            for name, deadline in zip(CLASSES, plan.deadlines_s, strict=True)
-        ],
-        "family_info": {
-            "self_no": cell,
-            "topology": "meshed",
-            "clear_wait_ns": int(RELEASE_WAIT_S * 1e9),
-            "class_hold_ns": [int(plan.hold_s * 1e9)] * len(CLASSES),
-            "circuits_by_class": [1] * len(CLASSES),
-        },
-        "limits": {
-            "most_tries": 5,
-            "max_open": 20000,
-            "connect_timeout_ns": 500_000_000,
-            "may_cancel": True,
-            "probes": plan.may_probe,
-        },
-        "rules": {
-            "drain_grace_ns": int(DRAIN_GRACE_S * 1e9),
-            "cold_from": 0.33,
-            "cold_ns": 15_000_000_000,
-            "fall_multiple": 2.5,
-            "tip_after_ns": 2_000_000_000,
-        },
-    }
-
-
 @dataclass(eq=False)
 class Trial:
     """One trial; `folder` holds its configurations and logs. `run` needs a running event loop."""
@@ -155,13 +114,15 @@
             )
             for server in self.servers
         ]
-        if FaultKind.RUDE_WAYS in kinds:
-            for clients in self.clients:
-                clients.traits = {
+        for clients in self.clients:
+            if FaultKind.RUDE_WAYS in kinds:
+                clients.traits |= {
                     ClientTrait.FRAGMENTED,
                     ClientTrait.CANCELS_EARLY,
                     ClientTrait.RETRIES_AT_ONCE,
                 }
+            if FaultKind.BATCHES in kinds:
+                clients.traits |= {ClientTrait.BATCHES, ClientTrait.SILENT}
 
     def _unanswered_share(self) -> float:
         """The share of set-ups that endpoints never answer."""
@@ -260,6 +221,15 @@
         if server.generation == generation:
             server.kill(self.loop.time())
 
+    async def _pause(self, server: CallServer) -> None:
+        """Stop a call server process for a moment; everything it does is late by that."""
+        paused_at = self.loop.time()
+        server.pause()
+        await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+        server.resume()
+        resumed_at = self.loop.time()
+        self.records.lags.append(Lag(resumed_at, resumed_at - paused_at))
+
     async def _poll_processes(self) -> None:
         while True:
             await asyncio.sleep(0.1)
@@ -296,6 +266,8 @@
             await self._terminate(self.servers[step.target])
         elif step.action is Action.CROWD:
             await self._crowd_at_random_server(step.target)
+        elif step.action is Action.PAUSE:
+            await self._pause(self.servers[step.target])
         elif step.action is Action.BAD_CLIENTS:
             await asyncio.gather(*(self._bad_client() for _ in range(step.target)))
 
@@ -348,6 +320,12 @@
                 discovery.break_mid_update()
             case Action.MOVE_DISCOVERY:
                 self._move_discovery()
+            case Action.CUT_OFF_CLIENTS:
+                self.clients[step.target].cut_off()
+            case Action.RESTORE_CLIENTS:
+                self.clients[step.target].restore()
+            case Action.RESET_CLIENT:
+                self.clients[step.target].reset_connection()
             case Action.CROWD_AT_RETURN:
                 self.pending_crowd = step.target
 
--- a/wellhitch/lab/trials/plan.py
+++ b/wellhitch/lab/trials/plan.py
@@ -35,6 +35,14 @@
     # an endpoint is cut off from all call servers, and then ends its calls on whatever connection is open; some set-ups
     # are never answered, so that calls are set up at a second attempt
     PARTITION = auto()
+    CLIENTS_CUT_OFF = (
+        auto()
+    )  # the network between a call server and its clients holds everything back for a while
+    CLIENT_RESETS = auto()  # connections of clients are reset, with set-ups and calls on them
+    PAUSES = auto()  # call servers are stopped and continued in series
+    BATCHES = (
+        auto()
+    )  # clients write several set-ups at once, some with no time left, and leave releases unanswered
 
 
 # Drawn by seeds below `FIRST_SEED_OF_ALL_KINDS`, whose plans stay as they are when kinds are added.
@@ -67,6 +75,10 @@
     DISCOVERY_SILENT = auto()
     DISCOVERY_BREAKS = auto()
     MOVE_DISCOVERY = auto()  # a new configuration and SIGHUP for every call server
+    CUT_OFF_CLIENTS = auto()  # target: a call server, like the following ones up to PAUSE
+    RESTORE_CLIENTS = auto()
+    RESET_CLIENT = auto()  # one connection
+    PAUSE = auto()  # SIGSTOP, and SIGCONT some time later
     BAD_CLIENTS = auto()  # target: number of clients
     CROWD = auto()  # target: number of connections
     # target: number of connections; when the next call server is ready, just before clients report their calls to it
@@ -177,6 +189,12 @@
                 TrialStep(start_s, Action.PARTITION, endpoint),
                 TrialStep(start_s + rng.uniform(0.5, 6.5), Action.HEAL, endpoint),
             ]
+        case FaultKind.CLIENTS_CUT_OFF:
+            return _clients_cut_off(rng, servers, duration_s)
+        case FaultKind.CLIENT_RESETS:
+            return _at_random_servers(Action.RESET_CLIENT, rng.randint(10, 40), rng, servers, duration_s)
+        case FaultKind.PAUSES:
+            return _at_random_servers(Action.PAUSE, rng.randint(4, 15), rng, servers, duration_s)
         case FaultKind.DIE:
             back_at_s = start_s + rng.choice((0.3, 1.0, 2.5))
             return [
@@ -217,10 +235,30 @@
             return [TrialStep(time_s, Action.BAD_CLIENTS, rng.randint(3, 20)) for time_s in times_s]
         case FaultKind.CROWD:
             return [TrialStep(start_s + n, Action.CROWD, rng.randint(60, 300)) for n in range(3)]
-        case FaultKind.SPOILT | FaultKind.RUDE_WAYS | FaultKind.IDLE_CLOSES | FaultKind.HASTY_CONNECTIONS:
+        case _:
             return []  # applied as traits of clients and endpoints from the start
 
 
+def _at_random_servers(
+    action: Action, count: int, rng: random.Random, servers: int, duration_s: float
+) -> list[TrialStep]:
+    """The same action at random times and call servers, from 1 s after the start to the end of the duration."""
+    return [TrialStep(rng.uniform(1.0, duration_s), action, rng.randrange(servers)) for _ in range(count)]
+
+
+def _clients_cut_off(rng: random.Random, servers: int, duration_s: float) -> list[TrialStep]:
+    """One to four interruptions, one after another, each between one call server and its clients."""
+    steps = []
+    time_s = rng.uniform(1.0, duration_s / 2)
+    for _ in range(rng.randint(1, 4)):
+        server = rng.randrange(servers)
+        restored_s = time_s + rng.choice((0.06, 0.3, 1.0, 2.5))
+        steps.append(TrialStep(time_s, Action.CUT_OFF_CLIENTS, server))
+        steps.append(TrialStep(restored_s, Action.RESTORE_CLIENTS, server))
+        time_s = restored_s + rng.uniform(0.5, 3.0)
+    return steps
+
+
 def _vanish(rng: random.Random, start_s: float, endpoint: int) -> list[TrialStep]:
     steps = [TrialStep(start_s, Action.VANISH, endpoint)]
     reboot_after_s = rng.choice((*REBOOT_AFTER_S, None))
--- a/wellhitch/lab/trials/process.py
+++ b/wellhitch/lab/trials/process.py
@@ -99,6 +99,16 @@
         if self.process is not None and self.running:
             self.process.send_signal(signal.SIGHUP)
 
+    def pause(self) -> None:
+        """Send SIGSTOP."""
+        if self.process is not None and self.running:
+            self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        if self.process is not None and self.running:
+            self.process.send_signal(signal.SIGCONT)
+
     def terminate(self, now: float) -> None:
         """Send SIGTERM."""
         if self.process is not None and self.running:
--- a/wellhitch/lab/trials/run.py
+++ b/wellhitch/lab/trials/run.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from wellhitch.lab.trials.fleet import DRAIN_GRACE_S, RELEASE_WAIT_S, Trial
+from wellhitch.lab.trials.fleet import Trial
 from wellhitch.lab.trials.plan import FaultKind, TrialPlan, draw_plan
+from wellhitch.lab.trials.settings import DRAIN_GRACE_S, RELEASE_WAIT_S
 from wellhitch.lab.trials.verdicts import Checker, Verdict, check_log
 
 
--- a/wellhitch/lab/trials/verdicts.py
+++ b/wellhitch/lab/trials/verdicts.py
@@ -66,6 +66,7 @@
         self.restarted_endpoints = {
             record.endpoint for record in records.of_kind(EventKind.ENDPOINT_RESTARTED)
         }
+        self.cut_offs = self._cut_offs_of_clients()
         self.server_events: dict[str, list[Record]] = defaultdict(list)
         for record in records.of_kind(
             EventKind.SERVER_STARTED,
@@ -76,6 +77,26 @@
         ):
             self.server_events[record.server].append(record)
 
+    def _cut_offs_of_clients(self) -> dict[str, list[tuple[float, float]]]:
+        """From when until when each call server was cut off from its clients."""
+        started: dict[str, float] = {}
+        periods: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        for record in self.records.of_kind(EventKind.CUT_OFF, EventKind.RESTORED):
+            if record.kind is EventKind.CUT_OFF:
+                started.setdefault(record.server, record.time_s)
+            elif record.server in started:
+                periods[record.server].append((started.pop(record.server), record.time_s))
+        for server, since in started.items():
+            periods[server].append((since, self.ended_at))
+        return periods
+
+    def _reaches_client_by(self, server: str, since: float, due_s: float) -> float:
+        """When a message due by `due_s` reaches a client at the latest: at the end of a cut-off that is in the way."""
+        for start_s, end_s in self.cut_offs[server]:
+            if start_s <= due_s and end_s >= since:
+                due_s = max(due_s, end_s)
+        return due_s
+
     def check(self) -> Verdict:
         """Check all rules."""
         for call_id, records in self.by_call.items():
@@ -111,6 +132,7 @@
         if cancelled:
             return
         due_s = request.time_s + float(request.detail) + ANSWER_GRACE_S
+        due_s = self._reaches_client_by(request.server, request.time_s, due_s)
         due_s += self._slack(request.time_s, due_s)
         if answers and answers[0].time_s <= due_s:
             return
@@ -203,9 +225,12 @@
         served = next((r for r in records if r.kind is EventKind.ANSWERED and r.status == 200), None)
         if served is None:
             return
-        ended = next(
-            (r for r in records if r.kind is EventKind.CALL_ENDED and r.time_s >= served.time_s - 1), None
-        )
+        # An earlier call with this id may have ended before, if its answer was given up.
+        established_s = [
+            r.time_s for r in records if r.kind is EventKind.ESTABLISHED and r.time_s <= served.time_s
+        ]
+        since = max(established_s, default=served.time_s - 1)
+        ended = next((r for r in records if r.kind is EventKind.CALL_ENDED and r.time_s >= since), None)
         received = [r for r in records if r.kind is EventKind.RELEASE_RECEIVED]
         by_client = next(
             (r for r in records if r.kind in (EventKind.CLIENT_RELEASED, EventKind.CANCELLED)), None
@@ -234,6 +259,7 @@
                 max(reported_at) + END_REPORT_LIMIT_S,
                 self._restart_reported_at(ended) + END_REPORT_LIMIT_S,
             )
+        due_s = self._reaches_client_by(ended.server, ended.time_s, due_s)
         if due_s > self.ended_at:
             return
         if not received or received[0].time_s > due_s + self._slack(ended.time_s, due_s):
