Keep connections while draining on which the ends of calls can be told

A draining server closed each connection without a call of its own. The end of a call whose connection had been reset before could then be told to nobody, though its caller had others open: it was told by the next process, seconds late. Connections on which callers sent dialogues now stay while there is such a call or an unanswered release; new set-ups on them are refused, as the terms have it.

--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -89,6 +89,21 @@
     assert not world.stopped or now_us(world.loop) < 2 * SECOND
 
 
+def test_draining_server_keeps_a_connection_on_which_the_ends_of_calls_can_be_told() -> None:
+    world = world_with_deadline()
+    holding, other = world.establish(A), world.establish(B, world.caller("10.9.0.2"), 2)
+    other.send(bodyless_request("BYE", B))
+    assert holding.connection is not None and holding.connection.transport is not None
+    holding.connection.transport.abort()  # by the network; the call stands
+    world.run(0.05)
+    world.service.stop()
+    world.run(1.0)
+    assert not other.closed
+    world.offices[1].end_call(A, 16)
+    world.run(0.3)
+    assert len(other.byes(A)) == 1 and other.closed
+
+
 def test_shutdown_ends_early_if_nothing_is_left() -> None:
     world = world_with_deadline(9.0)
     world.service.stop()
--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Hashable
 from typing import Any, Protocol, TypeGuard, cast
 
 from wellhitch.platform.set_up_request import reports_established_call
@@ -43,6 +43,9 @@
     def calls_on(self, connection: CallerConnection) -> int:
         """How many established calls were set up on a connection."""
 
+    def connections_for_ends(self) -> Collection[Hashable]:
+        """The connections on which the end of a call may have to be told that was set up on another one."""
+
     def log(self, event: str, **facts: Any) -> None:
         """Write one line of the log."""
 
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -207,15 +207,18 @@
         return "idle" if now - connection.last_used_at > IDLE_LIMIT_S else None
 
     def close_unused(self) -> None:
-        """While draining, close each connection without pending set-ups, calls or a partly received message."""
+        """While draining, close each connection without pending set-ups, calls or a partly received message, unless the
+        end of another connection's call may have to be told on it."""
         now = self.loop.time()
+        for_ends = self.events.connections_for_ends()
         for connection in [*self.table.silent, *self.table.active]:
             partial = (
                 connection.partial_since is not None
                 and now - connection.partial_since < PARTIAL_WHILE_DRAINING_S
             )
             new = connection in self.table.silent and now - connection.last_message_at < SILENT_S
-            if not (partial or new or self.events.set_ups_on(connection) or self.events.calls_on(connection)):
+            in_use = self.events.set_ups_on(connection) or self.events.calls_on(connection)
+            if not (partial or new or in_use or connection in for_ends):
                 connection.close("draining")
 
     def stop_listening(self) -> None:
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
 
 from wellhitch.interface.events import DialResult, OfficeReport, OfficeState
 from wellhitch.net.transport import Timer
@@ -63,6 +63,15 @@
         """How many calls were set up on a caller's connection."""
         return self._by_connection.get(connection, 0)
 
+    def connections_for_ends(self) -> Collection[Hashable]:
+        """The callers' connections on which the end of a call may have to be told whose own connection is gone; none
+        if there is no such call."""
+        connections = self.releases.connections
+        calls_on_open_connections = sum(self._by_connection[connection] for connection in connections)
+        if self.releases or calls_on_open_connections < len(self.calls):
+            return connections
+        return ()
+
     # ---- new calls ----
 
     def add(self, call: EstablishedCall, connection: Hashable) -> None:
--- a/wellhitch/platform/releases.py
+++ b/wellhitch/platform/releases.py
@@ -5,7 +5,7 @@
 resent on another connection: an open one may belong to a client that does not know the call and answers nothing.
 """
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
 from dataclasses import dataclass, field
 
 from wellhitch.net.transport import Timer
@@ -51,6 +51,11 @@
     def __len__(self) -> int:
         return len(self._unacknowledged)
 
+    @property
+    def connections(self) -> Collection[Hashable]:
+        """The open connections on which releases may go out."""
+        return self._connections.keys()
+
     def connection_used(self, connection: Hashable, now: int) -> None:
         """A caller sent a dialogue on this connection: waiting releases may go out on it."""
         if connection not in self._connections:
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Collection, Hashable
 from typing import Any, Protocol
 
 from wellhitch.board.codec import Update
@@ -346,6 +346,10 @@
         """See `CallerEvents`."""
         return self.core.established_on(connection)
 
+    def connections_for_ends(self) -> Collection[Hashable]:
+        """See `CallerEvents`."""
+        return self.core.established.connections_for_ends()
+
     def office_bytes_received(self, office: OfficeRecord, connection: OfficeConnection) -> None:
         """See `OfficeEvents`."""
         self.core.office_bytes_received(office, connection, self.now())
