--- a/wellhitch/lab/trials/client.py
+++ b/wellhitch/lab/trials/client.py
@@ -220,6 +220,8 @@
         session = _Session(connection, last_used=self.loop.time())
         connection.on_data = lambda data: self._read(session, data)
         connection.on_end = lambda: self._connection_ended(session)
+        if not self.sessions:
+            self._record(EventKind.CONNECTED, "")
         self.sessions[session] = None
         if self.is_cut_off:
             connection.freeze()
@@ -301,6 +303,8 @@
 
     def _connection_ended(self, session: _Session) -> None:
         self.sessions.pop(session, None)
+        if not self.sessions:
+            self._record(EventKind.DISCONNECTED, "")
         now = self.loop.time()
         sent = [request for request in session.pending.values() if request.sent_at]
         recent = [request for request in sent if now - request.sent_at <= CLOSE_RACE_S]
@@ -327,6 +331,8 @@
         """Report one established call; retry every `REPORT_RETRY_S` while no connection accepts the message."""
         message = invite(call_id, self.destinations[0], sorted(self.classes)[0], 1000, f";at:{endpoint}")
         for _ in range(REPORT_ATTEMPTS):
+            while self.is_cut_off:  # a connection may turn out to have ended meanwhile
+                await asyncio.sleep(REPORT_RETRY_S)
             session = await self._usable_session()
             if call_id not in self.established_calls:
                 return
--- a/wellhitch/lab/trials/records.py
+++ b/wellhitch/lab/trials/records.py
@@ -13,6 +13,8 @@
     CONNECTION_ENDED = auto()  # by a client: the connection of an unanswered set-up ended
     CUT_OFF = auto()  # by the clients: from now on nothing reaches them or the call server
     RESTORED = auto()  # by the clients: everything held back meanwhile arrives
+    CONNECTED = auto()  # by the clients: their first connection is open
+    DISCONNECTED = auto()  # by the clients: their last connection has ended
     CALL_REPORTED = auto()  # by a client: it reported a call established before a restart of the call server
     CLIENT_RELEASED = auto()  # by a client: it ended the call itself
     RELEASE_RECEIVED = auto()  # by a client: a release arrived
