--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -71,7 +71,7 @@
 
 
 # A short soak: clients use open connections until SIGKILL at the earliest time that operators allow, signals come in
-# series, and two of the trials have a crowd. Some of these seeds failed once (docs/incidents/dc97cf.md).
+# series, and three of the trials have a crowd. Some of these seeds failed once (docs/incidents/dc97cf.md).
 SOAK_SEEDS: dict[int, tuple[FaultKind, ...] | None] = {
     5: (FaultKind.SHUTDOWN, FaultKind.CROWD, FaultKind.DISCOVERY_SILENT, FaultKind.DRAIN),
     10: (FaultKind.KILL, FaultKind.SPOILT, FaultKind.DISCOVERY_DOWN, FaultKind.DISCOVERY_BREAKS),
@@ -80,6 +80,9 @@
     52: (FaultKind.KILL, FaultKind.CROWD, FaultKind.SPOILT),
     61: (FaultKind.SHUTDOWN, FaultKind.RUDE_WAYS, FaultKind.BAD_CLIENTS, FaultKind.RECONFIGURED),
     64: (FaultKind.SHUTDOWN, FaultKind.DIE, FaultKind.RESETS, FaultKind.CUT_OFF, FaultKind.IDLE_CLOSES),
+    71: (FaultKind.SHUTDOWN, FaultKind.PAUSES, FaultKind.BATCHES, FaultKind.CLIENT_RESETS),
+    72: (FaultKind.PARTITION, FaultKind.SHUTDOWN, FaultKind.CROWD, FaultKind.CLIENTS_CUT_OFF),
+    73: (FaultKind.PARTITION, FaultKind.RUDE_WAYS, FaultKind.CLIENT_RESETS, FaultKind.PAUSES),
 }
 
 
--- a/wellhitch/lab/trials/client.py
+++ b/wellhitch/lab/trials/client.py
@@ -172,7 +172,7 @@
         self.is_cut_off = False
         self._record(EventKind.RESTORED, "")
         for session in list(self.sessions):
-            session.connection.thaw()
+            session.connection.thaw(read_first=True)
 
     def reset_connection(self) -> None:
         """Reset one connection. Its clients give up their pending set-ups; their calls are not tied to it."""
--- a/wellhitch/lab/trials/sockets.py
+++ b/wellhitch/lab/trials/sockets.py
@@ -1,6 +1,7 @@
 """Listening sockets and connections on loopback that can be made to hang, drop, refuse or reset, without privileges."""
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -47,13 +48,20 @@
             self.loop.remove_reader(self.sock.fileno())
             self._stop_writing()
 
-    def thaw(self) -> None:
-        """Resume reading and writing."""
+    def thaw(self, read_first: bool = False) -> None:
+        """Resume reading and writing. With `read_first`, what has arrived is read before anything is written, so that
+        nothing goes to a peer that has ended the connection."""
+        if self.frozen and read_first:
+            self._read_all()
         if self.frozen and not self.ended:
             self.frozen = False
             self.start()
             self._flush()
 
+    def _read_all(self) -> None:
+        while not self.ended and select.select([self.sock], [], [], 0)[0]:
+            self._read_ready()
+
     def write(self, data: bytes, on_sent: Callable[[], None] | None = None) -> bool:
         """Write data, or keep it while frozen; False if the connection has ended. `on_sent` is called once the last
         byte was passed to the kernel."""
