--- a/wellhitch/lab/trials/endpoint.py
+++ b/wellhitch/lab/trials/endpoint.py
@@ -127,9 +127,16 @@
             for peer in self.peers.values()
             if peer.server == call.server and not peer.connection.ended_by_peer()
         ]
-        recorder = self._release_recorder(call.call_id, call.server)
-        if not open_connections or not self._write(open_connections[0], release, recorder):
-            self.unsent_releases[call.server][call.call_id] = release
+        unsent = self.unsent_releases[call.server]
+        unsent[call.call_id] = release  # sent on the next connection if this one ends before it is sent
+        record_sent = self._release_recorder(call.call_id, call.server)
+
+        def sent() -> None:
+            unsent.pop(call.call_id, None)
+            record_sent()
+
+        if open_connections:
+            self._write(open_connections[0], release, sent)
 
     def hang(self) -> None:
         """The process stops running; the kernel still accepts connections."""
