--- a/wellhitch/lab/trials/endpoint.py
+++ b/wellhitch/lab/trials/endpoint.py
@@ -48,6 +48,8 @@
     last_read: float
     served_at: float
     decoder: lines.Decoder = field(default_factory=lines.Decoder)
+    # Written on this connection; sent on the next one too once this one has ended.
+    releases_of_cut_calls: dict[str, bytes] = field(default_factory=dict)
 
 
 class Endpoint:
@@ -122,21 +124,17 @@
         self.calls.pop(call.call_id, None)
         self._record(EventKind.CALL_ENDED, call.call_id, call.server, CAUSE_TEMPORARY_FAILURE, "cut")
         release = lines.release(call.call_id, CAUSE_TEMPORARY_FAILURE)
-        open_connections = [
-            peer.connection
+        open_peers = [
+            peer
             for peer in self.peers.values()
             if peer.server == call.server and not peer.connection.ended_by_peer()
         ]
-        unsent = self.unsent_releases[call.server]
-        unsent[call.call_id] = release  # sent on the next connection if this one ends before it is sent
-        record_sent = self._release_recorder(call.call_id, call.server)
-
-        def sent() -> None:
-            unsent.pop(call.call_id, None)
-            record_sent()
-
-        if open_connections:
-            self._write(open_connections[0], release, sent)
+        if not open_peers:
+            self.unsent_releases[call.server][call.call_id] = release
+            return
+        open_peers[0].releases_of_cut_calls[call.call_id] = release
+        recorder = self._release_recorder(call.call_id, call.server)
+        self._write(open_peers[0].connection, release, recorder)
 
     def hang(self) -> None:
         """The process stops running; the kernel still accepts connections."""
@@ -254,6 +252,7 @@
 
     def _connection_ended(self, peer: _Peer) -> None:
         self.peers.pop(peer.connection, None)
+        self.unsent_releases[peer.server].update(peer.releases_of_cut_calls)
         for call in list(self.calls.values()):
             if call.connection is peer.connection and not call.answered:
                 self._remove_call(call, "connection ended")
