Read the messages before invalid bytes on a connection that is closing

A release or a set-up on a closing connection was dropped if invalid bytes followed it in the same chunk: the same mistake as on an open connection, one call further down.

--- a/tests/test_platform_closing.py
+++ b/tests/test_platform_closing.py
@@ -147,6 +147,17 @@
     ] == [A]
 
 
+def test_release_in_one_chunk_with_invalid_bytes_ends_its_call_on_a_closing_connection() -> None:
+    world = World()
+    caller = world.establish(A)
+    next(iter(world.service.callers.table.active)).close("full")
+    caller.send(bodyless_request("BYE", A) + NOISE)
+    world.run(0.1)
+    assert A not in world.core.calls and [
+        line.call_id for line in world.offices[1].lines_of_type("down")
+    ] == [A]
+
+
 def test_set_up_in_one_chunk_with_invalid_bytes_is_refused_with_an_answer() -> None:
     world = World()
     caller = world.caller()
--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -164,9 +164,9 @@
             return
         try:
             messages = self.decoder.feed(self.owner.buffer[:nbytes])
-        except sip.BadSip:
+        except sip.BadSip as error:
             self.unreadable = True
-            return
+            messages = error.messages_before
         self._dispatch(messages)
 
     def _receive_while_closing(self, message: sip.Message) -> None:
