--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -238,6 +238,8 @@
         self.on_new: Handler | None = None
         self.on_down: Handler | None = None
         self.address = ""
+        # Releases of calls that ended here: each goes out also on the next connection that is opened.
+        self.for_next_connection: list[dict[str, Any]] = []
         self._accepted = 0
         self._server: asyncio.Server | None = None
 
@@ -274,10 +276,12 @@
     def end(self, call_id: str, cause: int = 16) -> None:
         """End a call that stands: the release goes out on the connection of its set-up, else on any open one."""
         connection = self.standing.pop(call_id)
-        if not connection.open:
+        if not connection.open and self.connections:
             connection = next(iter(self.connections))
         self.rig.record(self.id, f"down {call_id} cause {cause} on connection {connection.number}")
-        connection.write({"t": "down", "ref": call_id, "f": {}, "c": cause})
+        release = {"t": "down", "ref": call_id, "f": {}, "c": cause}
+        self.for_next_connection.append(release)
+        connection.write(release)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._accepted += 1
@@ -285,6 +289,10 @@
         connection = OfficeConnection(self._accepted, reader, writer)
         self.connections[connection] = None
         self.rig.record(self.id, f"connection {connection.number} is open")
+        for release in self.for_next_connection:
+            self.rig.record(self.id, f"down {release['ref']} also on connection {connection.number}")
+            connection.write(release)
+        self.for_next_connection.clear()
         try:
             while line := await reader.readline():
                 await self._read(connection, json.loads(line))
