--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(HERE.parent))
 
 from rig_2 import (  # noqa: E402
+    CARIRI_RURAL,
     TROUBLE,
     Board,
     CallServer,
@@ -33,7 +34,7 @@
     await board.start()
     await office.start()
     board.publish(office.entry())
-    server = CallServer(rig, "n0", 0, settings(0, {"voice": 3.0}, probes=False), board)
+    server = CallServer(rig, "n0", 0, settings(0, {"voice": 3.0}, CARIRI_RURAL), board)
     await server.start()
     client = Client(rig, "client", server.address)
     await client.connect()
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -19,7 +19,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
@@ -53,7 +53,24 @@
         return int(probe.getsockname()[1])
 
 
-def settings(cell: int, classes: dict[str, float], probes: bool = True, servers: int = 2) -> dict[str, Any]:
+class Site(NamedTuple):
+    """The figures of one deployment's site file that bear on the cases; times in milliseconds."""
+
+    release_wait_ms: int
+    drain_grace_ms: int
+    most_tries: int
+    probes: bool
+    cold_from: float
+    fall_ms: int
+
+
+NORDESTE_CHAT = Site(200, 250, 5, True, 0.33, 2000)
+CARIRI_RURAL = Site(300, 1000, 4, False, 0.29, 1000)
+
+
+def settings(
+    cell: int, classes: dict[str, float], site: Site = NORDESTE_CHAT, servers: int = 2
+) -> dict[str, Any]:
     """Settings in the platform's form; `classes` gives the deadline of each class in seconds."""
     return {
         "balancers": servers,
@@ -72,23 +89,23 @@
         "family_info": {
             "self_no": cell,
             "topology": "meshed",
-            "clear_wait_ns": 200_000_000,
+            "clear_wait_ns": site.release_wait_ms * 1_000_000,
             "class_hold_ns": [12_000_000_000] * len(classes),
             "circuits_by_class": [1] * len(classes),
         },
         "limits": {
-            "most_tries": 5,
+            "most_tries": site.most_tries,
             "max_open": 20000,
             "connect_timeout_ns": 500_000_000,
             "may_cancel": True,
-            "probes": probes,
+            "probes": site.probes,
         },
         "rules": {
-            "drain_grace_ns": 250_000_000,
-            "cold_from": 0.33,
+            "drain_grace_ns": site.drain_grace_ms * 1_000_000,
+            "cold_from": site.cold_from,
             "cold_ns": 15_000_000_000,
             "fall_multiple": 2.5,
-            "tip_after_ns": 2_000_000_000,
+            "tip_after_ns": site.fall_ms * 1_000_000,
         },
     }
 
