Platform: a stopping server leaves releases unread that no caller can be told of

nothing_left kept the process while calls stood, even without a caller. Now nothing is read from offices while stopping as long as no open connection has carried a dialogue, no connection is opened in place of a lost one, and a draining server without caller connections and pending set-ups ends at once. Unconfirmed calls are cut at the end only where a caller could be notified.

--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -212,7 +212,10 @@
 
     def cut_unconfirmed(self, now: int) -> None:
         """Before this process ends, cut the calls whose office may have vanished: the next process cannot know how long
-        it has been silent, and their callers can still be notified. An office that still has them is told too."""
+        it has been silent, and their callers can still be notified. An office that still has them is told too. Without
+        a caller's connection nobody could be notified, and the calls are left to the next process."""
+        if not self.releases.connections:
+            return
         for office in list(self._offices.values()):
             unconfirmed = office.liveness.unconfirmed_calls(now)
             calls = [call for call in office.calls.values() if call in unconfirmed]
--- a/wellhitch/platform/offices.py
+++ b/wellhitch/platform/offices.py
@@ -111,6 +111,16 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(line)
 
+    def pause_reading(self) -> None:
+        """Leave what arrives in the kernel until `resume_reading`."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self.transport is not None:
+            self.transport.resume_reading()
+
     def send_test(self, line: bytes) -> None:
         """Send a liveness test, unless earlier data is still unsent."""
         if self.transport is not None and not self.transport.get_write_buffer_size():
@@ -240,7 +250,7 @@
 
     def open_another(self) -> None:
         """Open one more connection; where there are many already, it replaces an idle one."""
-        if self.connecting:
+        if self.connecting or not self.owner.reading:
             return
         if len(self.connected) >= max(2, self.owner.max_per_office // 2):
             idle = next((connection for connection in self.connected if not connection.dials), None)
@@ -270,6 +280,8 @@
             connection.transport = None
             return
         self.connected[connection] = None
+        if not self.owner.reading:
+            connection.pause_reading()
         connection.connected_at = self.owner.loop.time()
         self._retry_delay_s = RETRY_DELAY_S
         self.owner.events.office_connected(self.office, connection)
@@ -337,7 +349,7 @@
         """Whether another connection is to be opened. An office with calls needs one after a connection that was not
         read to its end: a release may have been lost with it, and the office sends that again on the next
         connection."""
-        if self.connecting or self.ended:
+        if self.connecting or self.ended or not self.owner.reading:
             return False
         if not self.connected:
             return self.kept_connected or bool(self.office.calls)
@@ -351,15 +363,25 @@
                 connection.transport.abort()
                 connection.detach("unsent at a drain")
 
+    def pause_reading(self) -> None:
+        """Read nothing until `resume_reading`. Written data is sent; no connection is opened to replace another."""
+        for connection in self.connected:
+            connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again, and open a connection if one was lost meanwhile."""
+        for connection in self.connected:
+            connection.resume_reading()
+        if not self.connected and self._retry_timer is None and self._wants_another(True):
+            self._connect()
+
     def stop_reading(self) -> None:
         """Leave what still arrives to the next process. Written data is sent; no new connection is opened."""
         self.kept_connected, self.ended = False, True
         if self._retry_timer is not None:
             self._retry_timer.cancel()
             self._retry_timer = None
-        for connection in self.connected:
-            if connection.transport is not None:
-                connection.transport.pause_reading()
+        self.pause_reading()
 
     def close(self, now: bool) -> None:
         """Close all connections for good `now`, or only those without unanswered dials."""
@@ -396,6 +418,8 @@
             connect_timeout_s,
         )
         self.max_descriptors, self.counts = max_descriptors, counts
+        self.reading = True  # False from `pause_reading` to `resume_reading`
+        self._stopped = False
         self.buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.pools: dict[OfficeRecord, ConnectionPool] = {}
 
@@ -412,8 +436,23 @@
             pool = self.pools[office] = ConnectionPool(self, office)
         return pool
 
+    def pause_reading(self) -> None:
+        """Read nothing from any office until `resume_reading`."""
+        if self.reading:
+            self.reading = False
+            for pool in self.pools.values():
+                pool.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read from the offices again, unless reading was stopped for good."""
+        if not self.reading and not self._stopped:
+            self.reading = True
+            for pool in self.pools.values():
+                pool.resume_reading()
+
     def stop_reading(self) -> None:
         """Read nothing more from any office."""
+        self.reading, self._stopped = False, True
         for pool in self.pools.values():
             pool.stop_reading()
 
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -166,6 +166,16 @@
             ends_by_us=self._schedule.end_at,
         )
         self.loop.call_later(self._schedule.drain_at / 1e6, self._drain)
+        self._read_offices_while_callers_can_be_notified()
+
+    def _read_offices_while_callers_can_be_notified(self) -> None:
+        """While stopping, leave the releases of offices unread as long as no caller could be notified of them."""
+        if not self.stopping:
+            return
+        if self.core.releases.connections:
+            self.office_connections.resume_reading()
+        else:
+            self.office_connections.pause_reading()
 
     def _drain(self) -> None:
         if not self.core.draining:
@@ -177,7 +187,7 @@
                 callers=self.callers.open,
             )
         closing = self._schedule.phase(self.now() - self._stop_at) is Phase.CLOSING
-        if closing or nothing_left(self.core.unanswered, len(self.core.calls), self.callers.open):
+        if closing or nothing_left(self.core.unanswered, self.callers.open):
             self._close()
             return
         self.callers.close_unused()
@@ -197,7 +207,11 @@
             self.loop.call_later(SHUTDOWN_POLL_S, self._end_when_closed)
             return
         self.write_log(
-            "stopped", standing=len(self.core.calls), open=self.callers.open, counts=dict(self.counts)
+            "stopped",
+            standing=len(self.core.calls),
+            releases=len(self.core.releases),
+            open=self.callers.open,
+            counts=dict(self.counts),
         )
         self.discovery.stop()
         if self.sender is not None:
@@ -329,6 +343,7 @@
     def message_received(self, connection: CallerConnection, message: Message) -> None:
         """See `CallerEvents`."""
         self.core.caller_message(connection, message, self.now())
+        self._read_offices_while_callers_can_be_notified()
 
     def connection_closing(self, connection: CallerConnection) -> None:
         """See `CallerEvents`."""
@@ -337,6 +352,7 @@
     def connection_closed(self, connection: CallerConnection) -> None:
         """See `CallerEvents`."""
         self.core.caller_closed(connection, self.now())
+        self._read_offices_while_callers_can_be_notified()
 
     def set_ups_on(self, connection: CallerConnection) -> int:
         """See `CallerEvents`."""
--- a/wellhitch/platform/shutdown.py
+++ b/wellhitch/platform/shutdown.py
@@ -5,6 +5,10 @@
 serves as before, then refuses new set-ups and closes each connection that has no pending set-up and no call. A
 connection with established calls stays open so that their ends can be reported on it. Before SIGKILL can come, every
 pending set-up has been answered and every connection closed.
+
+An office sends the release of a call once more on its next connection only. One that is read while no caller can be
+notified is lost, as the next process never receives it. Hence nothing is read from offices without a caller to notify,
+and the process ends early once it has no caller connection left, whatever calls are established.
 """
 
 from dataclasses import dataclass
@@ -51,6 +55,7 @@
     return ShutdownSchedule(min(SERVE_US, close_at), close_at, kill_at - END_BEFORE_KILL_US)
 
 
-def nothing_left(pending: int, established: int, connections: int) -> bool:
-    """Whether a draining server may close at once: no pending set-up, established call or caller connection is left."""
-    return not (pending or established or connections)
+def nothing_left(pending: int, connections: int) -> bool:
+    """Whether a draining server may close at once: no pending set-up and no caller connection is left. The ends of
+    established calls can then be told by the next process only."""
+    return not (pending or connections)
