Platform: a release whose connection is gone reaches every caller within a second

The record shows the release going to one other connection each 200 ms, the newest first; 45 newer ones of other clients use up the 8 s.

Nothing tells which connection is the owner's, so each attempt now goes to four times as many connections as the one before, at most 512 messages in 50 ms; a connection used for the first time gets such releases at once; and only a 2xx where the release was written, or a final answer on the connection of the set-up, ends the attempts. While the connection of the set-up is open, nothing changes but that.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 from wellhitch.board.codec import Update
 from wellhitch.deciding import runner as runner_module
 from wellhitch.interface import events as ev
+from wellhitch.net.transport import now_us
 from wellhitch.platform.service import descriptor_shares
 from wellhitch.stand_ins.platform import Caller, DiscoveryServer, bodyless_request
 
@@ -354,6 +355,92 @@
     assert at / 1e6 - over < 1 and sum(len(one.byes(A)) for one in unresponsive) == 3
 
 
+@pytest.mark.parametrize("connections", [45, 340])
+def test_release_reaches_every_connection_within_a_second_once_its_own_is_gone(connections: int) -> None:
+    # Guards against trying the connections one after the other (review/9): their clients do not know the call, and its
+    # owner, back on an older connection, got the release after 8 s or never.
+    world = World(max_descriptors=1024)
+    owner = world.establish(A)
+    owner.close()
+    world.run(0.1)
+    back = world.establish(call_id(2))
+    others = [
+        world.establish(call_id(100 + n), world.caller(answers_bye=False), 1 + n % 2)
+        for n in range(min(connections, 45))
+    ]
+    others += [world.caller(answers_bye=False) for _ in range(connections - len(others))]
+    for other in others[45:]:
+        other.send(invite(call_id(3), extra_attributes=";at:s-00000001"))
+    world.run(0.1)
+    over = now_us(world.loop)
+    world.offices[1].end_call(A, 16)
+    world.run(9)
+    [(notified_at, _)] = back.byes(A)
+    assert notified_at - over < 1_000_000 and not len(world.core.releases)
+    assert all(len(other.byes(A)) <= 1 for other in others)
+
+
+def test_refusal_of_a_release_by_a_client_that_does_not_know_the_call_is_not_its_answer() -> None:
+    # Guards against taking any response for the owner's (review/9, first form): one client that answers 481 was
+    # enough to lose the release.
+    world = World()
+    owner = world.establish(A)
+    owner.close()
+    world.run(0.1)
+    back = world.establish(call_id(2))
+    strangers = [world.establish(call_id(20 + n), world.caller(answers_bye=False)) for n in range(3)]
+    over = now_us(world.loop)
+    world.offices[1].end_call(A, 16)
+    refused: set[int] = set()
+    for _ in range(100):
+        world.run(0.01)
+        for number, stranger in enumerate(strangers):
+            if stranger.byes(A) and number not in refused:
+                refused.add(number)
+                stranger.send(
+                    b"SIP/2.0 481 Unknown\r\nCall-ID: %b\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
+                    % A.encode()
+                )
+    world.run(8)
+    [(notified_at, _)] = back.byes(A)
+    assert notified_at - over < 1_000_000 and [len(one.byes(A)) for one in strangers] == [1, 1, 1]
+
+
+def test_refusal_of_a_release_on_the_connection_of_its_set_up_ends_it() -> None:
+    world = World()
+    owner, other = world.caller(answers_bye=False), world.caller()
+    world.establish(A, owner)
+    world.establish(call_id(2), other)
+    world.offices[1].end_call(A, 16)
+    world.run(0.05)
+    owner.send(b"SIP/2.0 481 Unknown\r\nCall-ID: %b\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % A.encode())
+    world.run(1)
+    assert len(owner.byes(A)) == 1 and not other.byes(A) and not len(world.core.releases)
+
+
+def test_answer_from_a_connection_that_got_no_release_is_not_its_answer() -> None:
+    world = World()
+    owner, stranger = world.caller(answers_bye=False), world.caller()
+    world.establish(A, owner)
+    world.establish(call_id(2), stranger)
+    world.offices[1].end_call(A, 16)
+    stranger.send(b"SIP/2.0 200 OK\r\nCall-ID: %b\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n" % A.encode())
+    world.run(0.1)
+    assert len(world.core.releases) == 1
+
+
+def test_owner_that_comes_back_on_a_new_connection_gets_its_release_at_once() -> None:
+    world = World()
+    owner, stranger = world.establish(A), world.establish(call_id(2), world.caller(answers_bye=False))
+    owner.close()
+    world.run(0.1)
+    world.offices[1].end_call(A, 16)
+    world.run(5)
+    assert len(stranger.byes(A)) >= 1
+    back = world.establish(call_id(3))
+    assert len(back.byes(A)) == 1
+
+
 def test_release_of_an_earlier_call_is_not_resent_once_its_call_id_is_set_up_again() -> None:
     # Guards against ending the later call: one in transit is set up again under its Call-ID after a lost answer.
     world = World()
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -137,7 +137,7 @@
     def caller_message(self, connection: Hashable, message: sip.Message, now: int) -> None:
         """Handle a message from a caller."""
         if isinstance(message, sip.Response):
-            self.releases.answered(message.headers.get("call-id", ""), connection)
+            self.releases.answered(message.headers.get("call-id", ""), connection, message.status)
             return
         self.counts[f"caller.{message.method if message.method in KNOWN_METHODS else 'other'}"] += 1
         match message.method:
@@ -275,7 +275,7 @@
             self._cancel(pending, "released", now)
         else:
             self.counts["strays.bye"] += 1
-            self.releases.answered(call_id, connection)  # caller and office released at the same moment
+            self.releases.forget(call_id)  # caller and office released at the same moment
 
     def caller_closing(self, connection: Hashable, now: int) -> None:
         """Answer each pending set-up on a caller's connection that this server is about to close."""
--- a/wellhitch/platform/releases.py
+++ b/wellhitch/platform/releases.py
@@ -1,32 +1,55 @@
 """Releases (BYE) on their way to callers: chooses connections, resends until one is answered, drops the outdated.
 
-An established call belongs to no connection. Its release goes out on the connection of its set-up, else on another open
-one on which callers have sent dialogues, else on the next one that opens in time. A release that is not answered is
-resent on another connection: an open one may belong to a client that does not know the call and answers nothing.
+An established call belongs to no connection. Its release goes out on the connection of its set-up, and once that is
+gone, on the others on which callers have sent dialogues: nothing tells which of them leads to the call's owner. Those
+on which releases were answered come first, then the newest. Each attempt goes to more connections than the one before,
+so that all of them have the release within a second. A caller that does not know the call may refuse its release, or
+not answer it; only another answer, or a refusal on the connection of the set-up, ends the attempts.
 """
 
-from collections.abc import Callable, Collection, Hashable
+from collections.abc import Callable, Collection, Hashable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from wellhitch.net.transport import Timer
 
 # How long a release may wait for a connection: the platform's limit for notifying a caller that its call has ended.
 RETENTION_US = 8_000_000
-# How long a caller may take to answer; most answer within milliseconds. Three retries fit into the second that a
-# release may take.
+# How long a caller may take to answer; most answer within milliseconds.
 ANSWER_TIMEOUT_US = 200_000
+# Between checks for releases that were not answered.
+CHECK_INTERVAL_US = 50_000
+# By how much the number of connections grows from one attempt to the next. Five attempts fit into the second that a
+# release may take, and reach 341 connections: a third of 1024 descriptors, as many as callers hold at most.
+FAN_OUT = 4
+# Messages written in one check; when many calls have lost their connections, their attempts take turns.
+MAX_RESENDS_PER_CHECK = 512
 MAX_UNACKNOWLEDGED = 8192  # more calls than one exchange ever has established
 
 
 @dataclass(slots=True, eq=False)
 class Release:
-    """One release: its message, when its call ended, the connection it was last written to, and all those tried."""
+    """The release of one call. `owner` is the connection of the call's set-up while that is open, `written_on` the open
+    connections on which the release was written, `refused_on` those on which the caller does not know the call. `tried`
+    are those of the current round, which ends when none is left to try."""
 
     call_id: str
     data: bytes
     ended_at: int
-    connection: Hashable | None = None
+    owner: Hashable | None = None
+    written_on: set[Hashable] = field(default_factory=set)
+    refused_on: set[Hashable] = field(default_factory=set)
     tried: set[Hashable] = field(default_factory=set)
+    attempted_at: int = 0
+    fan_out: int = 1  # of the next attempt
+    rounds: int = 0  # completed ones
+
+    def forget_connection(self, connection: Hashable) -> None:
+        """Remove a connection that is gone."""
+        for connections in (self.written_on, self.refused_on, self.tried):
+            connections.discard(connection)
+        if self.owner == connection:
+            self.owner = None
 
 
 class ReleaseQueue:
@@ -44,7 +67,9 @@
         # Those on which a release was answered, the latest last.
         self._answering: dict[Hashable, None] = {}
         self._unacknowledged: dict[str, Release] = {}
-        self._retry_timer: Timer | None = None
+        # The same by the time of their latest attempt, the earliest first.
+        self._by_attempt: dict[Release, None] = {}
+        self._check_timer: Timer | None = None
         self.dropped = 0  # not answered in time, or displaced
         self.resent = 0
 
@@ -57,76 +82,123 @@
         return self._connections.keys()
 
     def connection_used(self, connection: Hashable, now: int) -> None:
-        """A caller sent a dialogue on this connection: waiting releases may go out on it."""
-        if connection not in self._connections:
-            self._connections[connection] = None
-            for release in list(self._unacknowledged.values()):
-                if release.connection is None:
-                    self._send(release, now)
+        """A caller sent a dialogue on this connection: the owner of a call whose connection is gone may have come
+        back on it."""
+        if connection in self._connections:
+            return
+        self._connections[connection] = None
+        ownerless = (release for release in self._unacknowledged.values() if release.owner is None)
+        for release in list(islice(ownerless, MAX_RESENDS_PER_CHECK)):
+            unsent = not release.written_on
+            if self._write_on(release, connection) and unsent:
+                self._note_attempt(release, now)
 
     def connection_closed(self, connection: Hashable, now: int) -> None:
-        """Resend on another connection each release last written to this one, as the caller may not have read it."""
+        """Resend on another connection each release that was written to this one alone, as the caller may not have read
+        it."""
         self._connections.pop(connection, None)
         self._answering.pop(connection, None)
         for release in list(self._unacknowledged.values()):
-            release.tried.discard(connection)
-            if release.connection == connection:
-                release.connection = None
-                self._send(release, now)
+            was_written_here = connection in release.written_on
+            release.forget_connection(connection)
+            if was_written_here and not release.written_on:
+                self._attempt(release, MAX_RESENDS_PER_CHECK, now)
 
     def add(self, call_id: str, data: bytes, connection: Hashable, now: int) -> None:
         """Send the release of a call to its caller, preferably on `connection`."""
+        self.forget(call_id)
         if len(self._unacknowledged) >= MAX_UNACKNOWLEDGED:
             self._drop(next(iter(self._unacknowledged)), "too many releases wait for an answer")
         release = self._unacknowledged[call_id] = Release(call_id, data, now)
-        if connection in self._connections and self._write(connection, data):
-            release.connection = connection
-            release.tried.add(connection)
+        if connection in self._connections and self._write_on(release, connection):
+            release.owner = connection
+            self._note_attempt(release, now)
         else:
-            self._send(release, now)
-        self._schedule_retry()
+            self._attempt(release, MAX_RESENDS_PER_CHECK, now)
+        self._schedule_check()
 
     def forget(self, call_id: str) -> None:
-        """A new call was set up under the Call-ID of one that is over: another release would end the new one."""
-        self._unacknowledged.pop(call_id, None)
-
-    def answered(self, call_id: str, connection: Hashable) -> None:
-        """A caller answered the release of a call."""
-        if self._unacknowledged.pop(call_id, None) is not None and connection in self._connections:
+        """Stop sending a release: its caller has released the call too, or a new call was set up under its Call-ID,
+        which another release would end."""
+        release = self._unacknowledged.pop(call_id, None)
+        if release is not None:
+            self._by_attempt.pop(release, None)
+
+    def answered(self, call_id: str, connection: Hashable, status: int) -> None:
+        """A caller answered the release of a call with a final status. Any client may refuse the release of a call that
+        it does not know; only on the connection of the set-up does this show that the call's owner was notified."""
+        release = self._unacknowledged.get(call_id)
+        if release is None or connection not in release.written_on or status < 200:
+            return
+        if status >= 300 and connection != release.owner:
+            release.refused_on.add(connection)
+            return
+        self.forget(call_id)
+        if status < 300 and connection in self._connections:
             self._answering.pop(connection, None)
             self._answering[connection] = None
 
-    def _send(self, release: Release, now: int) -> None:
-        """Write on a connection not tried yet, first on those where releases were answered. Once all were tried, the
-        next attempt starts over."""
-        for connections in (self._answering, self._connections):
-            for connection in reversed(connections):
-                if connection not in release.tried and self._write(connection, release.data):
-                    if release.tried:
-                        self.resent += 1
-                        self._log(
-                            "release_sent_again", call=release.call_id, connections_tried=len(release.tried)
-                        )
-                    release.connection = connection
-                    release.tried.add(connection)
-                    return
-        release.tried.clear()
+    def _attempt(self, release: Release, budget: int, now: int) -> int:
+        """Write on the next connections, at most `budget`; on one if that of the set-up is open, or all were tried
+        once. Then a new round starts with those that did not refuse. Returns how many were written to."""
+        single = release.owner is not None or release.rounds
+        wanted = 1 if single else min(release.fan_out, budget)
+        tried_before, written = len(release.tried), 0
+        for connection in list(self._untried(release)):
+            if written == wanted:
+                break
+            written += self._write_on(release, connection)
+        if tried_before and written:
+            self.resent += written
+            self._log("release_sent_again", call=release.call_id, connections_tried=tried_before, on=written)
+        if not written:
+            release.rounds += 1
+            release.tried = set(release.refused_on)
+        elif not single:
+            release.fan_out *= FAN_OUT
+        self._note_attempt(release, now)
+        return written
+
+    def _untried(self, release: Release) -> Iterator[Hashable]:
+        """The connections on which a release was not written yet, the likeliest first."""
+        for connection in reversed(self._answering):
+            if connection not in release.tried:
+                yield connection
+        for connection in reversed(self._connections):
+            if connection not in release.tried and connection not in self._answering:
+                yield connection
+
+    def _write_on(self, release: Release, connection: Hashable) -> bool:
+        written = self._write(connection, release.data)
+        if written:
+            release.written_on.add(connection)
+            release.tried.add(connection)
+        return written
+
+    def _note_attempt(self, release: Release, now: int) -> None:
+        release.attempted_at = now
+        self._by_attempt.pop(release, None)
+        self._by_attempt[release] = None
 
     def _drop(self, call_id: str, why: str) -> None:
-        del self._unacknowledged[call_id]
+        release = self._unacknowledged[call_id]
+        self.forget(call_id)
         self.dropped += 1
-        self._log("release_dropped", call=call_id, why=why)
-
-    def _schedule_retry(self) -> None:
-        if self._retry_timer is None and self._unacknowledged:
-            self._retry_timer = self._start_timer(ANSWER_TIMEOUT_US, self._retry)
-
-    def _retry(self, now: int) -> None:
-        self._retry_timer = None
-        for release in list(self._unacknowledged.values()):
-            age_us = now - release.ended_at
-            if age_us > RETENTION_US:
+        self._log("release_dropped", call=call_id, why=why, connections=len(release.written_on))
+
+    def _schedule_check(self) -> None:
+        if self._check_timer is None and self._unacknowledged:
+            self._check_timer = self._start_timer(CHECK_INTERVAL_US, self._check)
+
+    def _check(self, now: int) -> None:
+        """Resend the releases that were not answered, and drop those whose time is up."""
+        self._check_timer = None
+        budget = MAX_RESENDS_PER_CHECK
+        for release in list(self._by_attempt):
+            if now - release.attempted_at < ANSWER_TIMEOUT_US or not budget:
+                break
+            if now - release.ended_at > RETENTION_US:
                 self._drop(release.call_id, "no caller answered in time")
-            elif age_us >= ANSWER_TIMEOUT_US:
-                self._send(release, now)
-        self._schedule_retry()
+            else:
+                budget -= self._attempt(release, budget, now)
+        self._schedule_check()
