Platform: callers are served in fair turns, and no crowd holds up the usual clients

Up to 64 KiB of a connection were handled before the next connection had its turn, so a turn of the loop took the sum over all connections.

Now 4 KiB are read at once and handled for 5 ms a turn; then connections hold their bytes undecoded, are not read, and are served by self-clocked fair queueing with bytes as the cost.

--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -1,6 +1,9 @@
 """One connection from a caller: decodes what arrives, passes messages on as `CallerEvents`, and closes in such a way
 that no answer is lost.
 
+What arrives is handled at once as long as the loop keeps up. Then each connection holds a few kilobytes, is not read
+meanwhile, and is served in turn (`fair_queue.py`).
+
 Each limit on a connection has a name under which violations are counted: `unread`, `open_on_link` and those of the SIP
 codec.
 """
@@ -19,6 +22,8 @@
 LINGER_BYTES = 256 * 1024
 # Ends of calls, and reports of established ones; they count although no answer can be written.
 METHODS_READ_TO_THE_END = frozenset(("BYE", "CANCEL", "INVITE"))
+# What is read from a connection at once, and held where it must wait: some ten set-ups.
+READ_AT_ONCE_BYTES = 4096
 # Answers that wait for a caller to read: some two hundred.
 MAX_UNSENT_BYTES = 64 * 1024
 # Pending on one connection; ordinary callers have tens.
@@ -61,6 +66,12 @@
     def opened(self, connection: CallerConnection) -> None:
         """A connection came up."""
 
+    def may_serve_now(self, connection: CallerConnection, size: int) -> bool:
+        """Whether `size` bytes that have arrived on a connection may be handled at once."""
+
+    def serve_later(self, connection: CallerConnection) -> None:
+        """Call `serve_held` on a connection in a later turn of the loop."""
+
     def message_received(self, connection: CallerConnection) -> None:
         """A complete message arrived on a connection."""
 
@@ -99,6 +110,7 @@
         "message_count",
         "peer",
         "unreadable",
+        "held",
         "__weakref__",
     )
 
@@ -117,6 +129,8 @@
         self.message_count = 0  # complete messages received
         self.peer = ""  # address of the caller, for the log
         self.unreadable = False
+        # Received, and left undecoded until the connection is served again; nothing more is read meanwhile.
+        self.held = b""
 
     def __str__(self) -> str:
         """The caller's address, by which the log names the connection."""
@@ -134,14 +148,41 @@
         self.owner.opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.owner.buffer
+        return self.owner.buffer if self.closing_since is not None else self.owner.buffer[:READ_AT_ONCE_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
+        data = self.owner.buffer[:nbytes]
         if self.closing_since is not None:
-            self._read_while_closing(nbytes)
-            return
+            self._read_while_closing(data)
+        elif self.held or not self.owner.may_serve_now(self, nbytes):
+            self._hold(data)
+        else:
+            self._serve(data)
+
+    def _hold(self, data: memoryview) -> None:
+        self.held += bytes(data)
+        if self.transport is not None:
+            self.transport.pause_reading()
+        self.owner.serve_later(self)
+
+    def _take_held(self) -> memoryview:
+        data, self.held = memoryview(self.held), b""
+        return data
+
+    def serve_held(self) -> None:
+        """Handle what was held, and read on."""
+        data = self._take_held()
+        if data and self.closing_since is None:
+            self._serve(data)
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _serve(self, data: memoryview) -> None:
         try:
-            messages = self.decoder.feed(self.owner.buffer[:nbytes])
+            messages = self.decoder.feed(data)
         except sip.BadSip as error:
             self.unreadable = True
             self._invalid_bytes_received(error)
@@ -155,15 +196,15 @@
         elif self.partial_since is None or messages:
             self.partial_since = self.owner.loop.time()
 
-    def _read_while_closing(self, nbytes: int) -> None:
+    def _read_while_closing(self, data: memoryview) -> None:
         """Read on after the decision to close: what ends a call counts on any connection."""
-        self.discarded_bytes += nbytes
+        self.discarded_bytes += len(data)
         if self.discarded_bytes > LINGER_BYTES:
             self.owner.abort(self)
         if self.unreadable or self.discarded_bytes > LINGER_BYTES:
             return
         try:
-            messages = self.decoder.feed(self.owner.buffer[:nbytes])
+            messages = self.decoder.feed(data)
         except sip.BadSip as error:
             self.unreadable = True
             messages = error.messages_before
@@ -234,6 +275,9 @@
         self.owner.events.connection_closing(self)
         self.closing_since = self.owner.loop.time()
         self.owner.closing_started(self)
+        if self.held:
+            self._read_while_closing(self._take_held())
+            self._resume_reading()
         self.owner.after_reading(self._end_writing)
 
     def _end_writing(self) -> None:
@@ -251,6 +295,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.closing_since is None:
             self.closing_since = self.owner.loop.time()
+        if self.held:
+            self._read_while_closing(self._take_held())
         self.owner.lost(self)
 
 
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -12,6 +12,7 @@
 from wellhitch.net.transport import Listener, Network
 from wellhitch.platform.caller_connection import CallerConnection, CallerEvents
 from wellhitch.platform.eviction import SILENT_S, ConnectionTable
+from wellhitch.platform.fair_queue import FairQueue
 from wellhitch.platform.set_up_request import read_call_id
 from wellhitch.sip import codec as sip
 
@@ -33,6 +34,9 @@
 # may lose the last answer written.
 LINGER_S = 1.0
 READ_BUFFER_BYTES = 64 * 1024  # shared by all connections
+# How long messages from callers are handled in one turn of the loop. Offices, timers and callers that have sent little
+# wait for no more than this and one connection's messages.
+SERVE_PER_TURN_S = 0.005
 
 
 class CallerConnections:
@@ -54,6 +58,9 @@
         self.listener: Listener | None = None
         self._sweep_timer: Any = None
         self._eviction_timer: Any = None
+        self._queue: FairQueue[CallerConnection] = FairQueue()
+        self._serving_queue = False  # `_serve_waiting` is scheduled
+        self._turn_ends_at: float | None = None  # of this turn's time for messages from callers
 
     def listen(self, address: str, ready: Callable[[], None]) -> None:
         """Accept connections at an address; `ready` is called once that has begun."""
@@ -74,6 +81,41 @@
                 self.listener.pause()
             self.after_reading(self._evict)
 
+    def may_serve_now(self, connection: CallerConnection, size: int) -> bool:
+        """See `ConnectionOwner`."""
+        if self._serving_queue:
+            return False
+        now = self.loop.time()
+        if self._turn_ends_at is None:
+            self._turn_ends_at = now + SERVE_PER_TURN_S
+            self.loop.call_soon(self._turn_ended)
+        if now >= self._turn_ends_at:
+            return False
+        self._queue.charge(connection, size)
+        return True
+
+    def _turn_ended(self) -> None:
+        self._turn_ends_at = None
+
+    def serve_later(self, connection: CallerConnection) -> None:
+        """See `ConnectionOwner`."""
+        self._queue.add(connection, len(connection.held))
+        if not self._serving_queue:
+            self._serving_queue = True
+            self.loop.call_soon(self._serve_waiting)
+
+    def _serve_waiting(self) -> None:
+        """Serve the connections that wait, for this turn's time."""
+        ends_at = self.loop.time() + SERVE_PER_TURN_S
+        while (connection := self._queue.pop()) is not None:
+            connection.serve_held()
+            if self.loop.time() >= ends_at:
+                break
+        self._serving_queue = bool(self._queue)
+        if self._serving_queue:
+            self.counts["callers_waited"] += 1
+            self.loop.call_soon(self._serve_waiting)
+
     def after_reading(self, callback: Callable[[], None]) -> None:
         """See `ConnectionOwner`."""
         self._after_turns(READING_TURNS, callback)
@@ -141,6 +183,7 @@
     def lost(self, connection: CallerConnection) -> None:
         """Forget a connection that is gone."""
         self.table.forget(connection)
+        self._queue.forget(connection)
         self.events.connection_closed(connection)
 
     def log_close(self, connection: CallerConnection, why: str) -> None:
@@ -191,7 +234,9 @@
             connection.close(limit)
 
     def _exceeded_limit(self, connection: CallerConnection, now: float) -> str | None:
-        """The name of the time limit that a connection has exceeded, if any."""
+        """The name of the time limit that a connection has exceeded, if any. One that waits to be served has not."""
+        if connection.held:
+            return None
         if self.events.set_ups_on(connection) or self.events.calls_on(connection):
             connection.last_used_at = now
         if connection.partial_since is not None:
@@ -218,7 +263,7 @@
             )
             new = connection in self.table.silent and now - connection.last_message_at < SILENT_S
             in_use = self.events.set_ups_on(connection) or self.events.calls_on(connection)
-            if not (partial or new or in_use or connection in for_ends):
+            if not (partial or new or in_use or connection.held or connection in for_ends):
                 connection.close("draining")
 
     def stop_listening(self) -> None:
