Platform: one client's calls cannot fill the memory

Each established call takes some 3 KB until it ends; pending set-ups, reported calls, releases and numbers called were bounded, these were not.

Above 8192 established calls a caller with half of the average or more on its connection is refused with 503, above 16384 every caller is.

--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -203,6 +203,8 @@
             self._reject_request(connection, message, "draining", 503)
         elif len(self.pending_calls) >= self.max_open:
             self._reject_request(connection, message, "max_open", 503)
+        elif not self.established.may_add(connection):
+            self._reject_request(connection, message, "calls_on_link", 503)
         else:
             self.releases.connection_used(connection, now)
             self._accept(connection, message, set_up, now)
