Platform, server: set-ups of a caller that has left are not sent on

All messages of one read were handled before the next read told of the end of the connection.

Before a set-up is accepted, the network is asked whether the peer has ended the connection, by poll with POLLRDHUP. Its set-ups are ignored then; releases and reports count as before. The trunk call server had the same fault and does the same. The emulator delivers a close behind unread bytes.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -6,6 +6,7 @@
 import pytest
 
 from wellhitch.lab.crowd.attack import Attack
+from wellhitch.lab.crowd.leaving import play_leaving
 from wellhitch.lab.crowd.play import MEMORY_LIMIT_MB, play
 
 SECONDS = 4.0
@@ -32,3 +33,11 @@
     assert outcome.survived and outcome.answers.statuses.keys() == {200}, outcome
     assert outcome.answers.missing == 0 and outcome.answers.late == 0, outcome
     assert outcome.peak_memory_mb < MEMORY_LIMIT_MB / 2, outcome
+
+
+@pytest.mark.parametrize("by_reset", [False, True])
+@pytest.mark.parametrize("set_ups", [57, 148])
+def test_unread_set_ups_of_a_client_that_has_left_are_not_sent_on(set_ups: int, by_reset: bool) -> None:
+    # Guards against dialling for nobody: all were sent on. The set-up that comes again on another connection runs once.
+    sent = asyncio.run(play_leaving(set_ups, by_reset))
+    assert sent.after_leaving == 0 and sent.came_again == 1
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -286,3 +286,33 @@
     )
     server.loop.advance(1.0)
     assert stranger.close_reasons
+
+
+def test_calls_of_a_caller_that_has_left_are_not_set_up() -> None:
+    # Guards against dialling for what a caller wrote before it closed its connection: nobody waits for an answer.
+    server, caller = DaemonFixture(), RecordingOwner()
+    accepted: list[Channel] = []
+    opened = server.daemon.caller_channels.channel_opened
+
+    def note_opened(channel: Channel) -> None:
+        accepted.append(channel)
+        opened(channel)
+
+    server.daemon.caller_channels.channel_opened = note_opened  # type: ignore[method-assign]
+    hello = frames.Hello("caller", 0, 1)
+    server.net.for_host("c").connect(
+        "s:1", lambda: Channel(server.loop, caller, hello, ("call_server",)), print
+    )
+    server.loop.advance(1.0)
+    [at_server], [at_caller] = accepted, caller.opened
+    assert at_server.transport is not None and at_caller.transport is not None
+    at_server.transport.pause_reading()
+    for n in range(20):
+        at_caller.send(frames.Call(n, "cheap", 1, "aa", 2_000_000, 1, False, "north"))
+    server.loop.advance(0.1)
+    at_caller.transport.close()
+    server.loop.advance(0.1)
+    at_server.transport.resume_reading()
+    server.loop.advance(0.1)
+    counts = server.daemon.switch.counts
+    assert counts["calls_ignored"] == 20 and not counts["event.Arrived"] and not server.loop_errors
--- a/tests/test_platform_closing.py
+++ b/tests/test_platform_closing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -206,3 +207,37 @@
     world.core.office_line_received(office, dial.connection, line, now_us(world.loop))
     world.run(0.1)
     assert is_released_at_office(world)
+
+
+@pytest.mark.parametrize("by_reset", [False, True])
+def test_set_ups_of_a_caller_that_has_left_are_ignored_and_its_releases_are_not(
+    by_reset: bool, sockets: SocketWorld
+) -> None:
+    # Guards against sending on what a caller wrote before it closed its connection: nobody waits for an answer.
+    sockets.send(invite(A))
+    sockets.run(0.1)
+    sockets.read()
+    assert sockets.statuses(A) == [200]
+    sockets.send(b"".join(invite(f"{n:016x}") for n in range(60)) + bodyless_request("BYE", A))
+    if by_reset:
+        sockets.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sockets.client.close()
+    sockets.run(0.2)
+    assert [line.call_id for line in sockets.office.lines_of_type("new")] == [A]
+    if not by_reset:  # a reset discards what is unread
+        assert [line.call_id for line in sockets.office.lines_of_type("down")] == [A]
+        assert sockets.service.counts["set_ups_ignored"] == 60
+
+
+def test_half_closed_emulated_connection_is_known_to_have_ended_behind_unread_data() -> None:
+    world = World()
+    caller = world.caller()
+    world.run(0.1)
+    [connection] = world.service.callers.table.silent
+    assert connection.transport is not None
+    assert not world.service.network.peer_has_ended(connection.transport)
+    connection.transport.pause_reading()
+    caller.send(invite(A))
+    caller.close()
+    world.run(0.1)
+    assert world.service.network.peer_has_ended(connection.transport)
--- a/wellhitch/emulator/network.py
+++ b/wellhitch/emulator/network.py
@@ -46,6 +46,8 @@
         self.last_arrival = 0.0
         self.loss_reported = False
         self.write_closed = False
+        self.peer_ends_at: float | None = None  # when the peer's close or reset arrives
+        self.close_pending = False  # the peer's close arrived behind unread bytes while reading was paused
 
     # -- asyncio.Transport --
 
@@ -76,7 +78,8 @@
         self.closing = True
         peer = self.peer
         if peer is not None and not self.network.link_faults(self.local_host, self.remote_host).silent:
-            self.network.loop.call_at(self.network.arrival_time(self), peer._connection_lost, None)
+            peer.peer_ends_at = self.network.arrival_time(self)
+            self.network.loop.call_at(peer.peer_ends_at, peer._connection_lost, None)
         self.network.loop.call_soon(self._report_loss, None)
 
     def abort(self) -> None:
@@ -86,9 +89,8 @@
         self.closing = True
         peer = self.peer
         if peer is not None and not self.network.link_faults(self.local_host, self.remote_host).silent:
-            self.network.loop.call_at(
-                self.network.arrival_time(self), peer._connection_lost, ConnectionResetError("reset")
-            )
+            peer.peer_ends_at = self.network.arrival_time(self)
+            self.network.loop.call_at(peer.peer_ends_at, peer._connection_lost, ConnectionResetError("reset"))
         self.network.loop.call_soon(self._report_loss, None)
 
     def can_write_eof(self) -> bool:
@@ -102,7 +104,8 @@
         self.write_closed = True
         peer = self.peer
         if peer is not None and not self.network.link_faults(self.local_host, self.remote_host).silent:
-            self.network.loop.call_at(self.network.arrival_time(self), peer._eof_arrived)
+            peer.peer_ends_at = self.network.arrival_time(self)
+            self.network.loop.call_at(peer.peer_ends_at, peer._eof_arrived)
 
     def is_closing(self) -> bool:
         """Whether the connection is closed or closing."""
@@ -113,9 +116,11 @@
         self.reading = False
 
     def resume_reading(self) -> None:
-        """Deliver buffered bytes."""
+        """Deliver buffered bytes, and the peer's close if it arrived behind them."""
         self.reading = True
         self._deliver()
+        if self.close_pending and self.reading:
+            self._connection_lost(None)
 
     def get_write_buffer_size(self) -> int:
         """Bytes written and not yet read by the peer."""
@@ -169,7 +174,9 @@
     def _connection_lost(self, error: Exception | None) -> None:
         if self.network.defer_if_paused(self.local_host, self._connection_lost, error):
             return
-        if not self.closing:
+        if error is None and self.received and not self.reading:
+            self.close_pending = True
+        elif not self.closing:
             self.closing = True
             self._report_loss(error)
 
@@ -397,3 +404,9 @@
                 near.protocol.connection_made(near)
 
         self.network.loop.call_later(delay_s, reach)
+
+    def peer_has_ended(self, transport: asyncio.Transport) -> bool:
+        """As `Network.peer_has_ended`."""
+        assert isinstance(transport, EmulatedTransport)
+        ends_at = transport.peer_ends_at
+        return transport.closing or (ends_at is not None and ends_at <= self.network.loop.time())
--- a/wellhitch/lab/crowd/play.py
+++ b/wellhitch/lab/crowd/play.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import subprocess
 import sys
 import tempfile
 import time
+from collections import Counter
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -61,11 +64,10 @@
 
 @dataclass
 class Office:
-    """An office that answers every set-up. `received` has the time of each set-up by Call-ID."""
+    """An office that answers every set-up. `attempts` has how often each came, by Call-ID."""
 
     address: str = field(default_factory=allocate_loopback_address)
-    received: dict[str, float] = field(default_factory=dict)
-    attempts: int = 0
+    attempts: Counter[str] = field(default_factory=Counter)
 
     async def start(self) -> asyncio.Server:
         """Listen."""
@@ -78,8 +80,7 @@
             while line := await reader.readline():
                 message = json.loads(line)
                 if message["t"] == "new":
-                    self.received[message["ref"]] = time.monotonic()
-                    self.attempts += 1
+                    self.attempts[message["ref"]] += 1
                     answer = {"t": "up", "ref": message["ref"], "f": {}, "d": "office"}
                     loop.call_later(OFFICE_ANSWERS_AFTER_S, _write_line, writer, answer)
                 elif message["t"] == "hb":
@@ -134,13 +135,16 @@
         """Send set-ups at a steady rate."""
         first = self.answers.sent
         for number in range(first, first + set_ups):
-            writer = await self._writer(number % USUAL_CONNECTIONS)
-            call_id = 0xA << 60 | number
-            self._sent_at[f"{call_id:016x}"] = time.monotonic()
-            self.answers.sent += 1
-            writer.write(set_up(call_id, deadline_ms=DEADLINE_MS))
+            await self.send(0xA << 60 | number)
             await asyncio.sleep(USUAL_INTERVAL_S)
 
+    async def send(self, call_id: int) -> None:
+        """Send one set-up."""
+        writer = await self._writer(self.answers.sent % USUAL_CONNECTIONS)
+        self._sent_at[f"{call_id:016x}"] = time.monotonic()
+        self.answers.sent += 1
+        writer.write(set_up(call_id, deadline_ms=DEADLINE_MS))
+
     def close(self) -> None:
         """Close the connections."""
         for task in self._tasks:
@@ -278,16 +282,38 @@
         )
 
 
-async def play(attack: Attack, clients: int, seconds: float, seed: int) -> Outcome:
-    """Start a call server, load it for some seconds, and send it usual set-ups meanwhile."""
-    with tempfile.TemporaryDirectory() as folder:
+@dataclass(frozen=True)
+class CallServerAndOffice:
+    """A call server process, and the only office it knows."""
+
+    server: ServerProcess
+    office: Office
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def started(cls, folder: Path) -> AsyncIterator["CallServerAndOffice"]:
+        """Start both and discovery, and stop them in the end. Raises TimeoutError where the process is not ready in
+        time."""
         office, discovery = Office(), allocate_loopback_address()
         office_server = await office.start()
         host, _, port = discovery.rpartition(":")
         discovery_server = await asyncio.start_server(_heartbeats, host, int(port))
-        server = ServerProcess(Path(folder), office, discovery)
+        server = ServerProcess(folder, office, discovery)
         try:
             await server.ready()
+            yield cls(server, office)
+        finally:
+            server.stop()
+            office_server.close()
+            discovery_server.close()
+            await asyncio.sleep(CLOSE_S)
+
+
+async def play(attack: Attack, clients: int, seconds: float, seed: int) -> Outcome:
+    """Start a call server, load it for some seconds, and send it usual set-ups meanwhile."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with CallServerAndOffice.started(Path(folder)) as played:
+            server = played.server
             usual = UsualClients(server.listen)
             await usual.run(SET_UPS_BEFORE_ATTACK)
             command = [sys.executable, "-m", "wellhitch.lab.crowd.attack", attack.value, server.listen]
@@ -300,8 +326,3 @@
                 crowd.wait()
                 usual.close()
             return Outcome(usual.answers, server.peak_memory_mb() if server.running else 0.0, server.running)
-        finally:
-            server.stop()
-            office_server.close()
-            discovery_server.close()
-            await asyncio.sleep(CLOSE_S)
--- a/wellhitch/net/transport.py
+++ b/wellhitch/net/transport.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import ipaddress
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,6 +14,8 @@
 """Receives a datagram and the address of its sender."""
 
 
+# What poll() reports of a connection that its peer has closed or reset; the first is known on Linux alone.
+PEER_ENDED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 ACCEPT_RETRY_S = 1.0  # after a connection could not be accepted for lack of descriptors or memory
 
 
@@ -77,6 +80,10 @@
     ) -> None:
         """Open a connection; either its protocol's `connection_made` is called, or `on_failure` with the reason."""
 
+    def peer_has_ended(self, transport: asyncio.Transport) -> bool:
+        """Whether the peer of a connection is known to have closed or reset it, also while data from before that is
+        still unread."""
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Host and port of `host:port`. Raises ValueError naming the address."""
@@ -281,6 +288,18 @@
 
         self._spawn(open_connection())
 
+    def peer_has_ended(self, transport: asyncio.Transport) -> bool:
+        """See `Network`. Where the system does not tell of a close behind unread data, only of a reset."""
+        sock = transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), PEER_ENDED_EVENTS)
+        try:
+            return any(events & PEER_ENDED_EVENTS for _, events in poll.poll(0))
+        except OSError:
+            return False
+
 
 class LoopbackNetwork(LoopNetwork):
     """A network that refuses every address but loopback."""
--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Collection, Hashable
 from typing import Any, Protocol, TypeGuard, cast
 
+from wellhitch.net.transport import Network
 from wellhitch.platform.set_up_request import reports_established_call
 from wellhitch.sip import codec as sip
 
@@ -59,6 +60,7 @@
     """What a connection needs of the collection of all connections from callers."""
 
     loop: asyncio.AbstractEventLoop
+    network: Network
     buffer: memoryview
     counts: Counter[str]
     events: CallerEvents
@@ -90,6 +92,9 @@
     def set_up_while_closing(self, connection: CallerConnection, set_up: sip.Request, answered: bool) -> None:
         """A set-up was read after the decision to close, and was refused if it was `answered`."""
 
+    def set_up_ignored(self, connection: CallerConnection, set_up: sip.Request) -> None:
+        """A set-up was read whose caller had left."""
+
     def after_reading(self, callback: Callable[[], None]) -> None:
         """Call `callback` once all that has arrived by now on any connection is read."""
 
@@ -111,6 +116,7 @@
         "peer",
         "unreadable",
         "held",
+        "caller_left",
         "__weakref__",
     )
 
@@ -131,6 +137,7 @@
         self.unreadable = False
         # Received, and left undecoded until the connection is served again; nothing more is read meanwhile.
         self.held = b""
+        self.caller_left = False
 
     def __str__(self) -> str:
         """The caller's address, by which the log names the connection."""
@@ -226,6 +233,8 @@
         for message in messages:
             if self.closing_since is not None:
                 self._receive_while_closing(message)
+            elif _is_set_up(message) and self._caller_has_left():
+                self.owner.set_up_ignored(self, message)
             elif (
                 isinstance(message, sip.Request)
                 and message.method == "INVITE"
@@ -236,6 +245,13 @@
             else:
                 self.owner.events.message_received(self, message)
 
+    def _caller_has_left(self) -> bool:
+        """Whether the caller has closed or reset the connection. What it sent before that may still be unread then, and
+        its set-ups are given up."""
+        if not self.caller_left:
+            self.caller_left = self.transport is None or self.owner.network.peer_has_ended(self.transport)
+        return self.caller_left
+
     def _invalid_bytes_received(self, error: sip.BadSip) -> None:
         """Refuse the set-ups before the invalid bytes, as the connection closes before an office could answer."""
         self.owner.counts[f"door.{error.reason}"] += 1
--- a/wellhitch/platform/callers.py
+++ b/wellhitch/platform/callers.py
@@ -212,6 +212,13 @@
             closing_ms=None if since is None else round((self.loop.time() - since) * 1000),
         )
 
+    def set_up_ignored(self, connection: CallerConnection, set_up: sip.Request) -> None:
+        """See `ConnectionOwner`."""
+        self.counts["set_ups_ignored"] += 1
+        self.events.log(
+            "set_up_ignored", call=read_call_id(set_up), why="caller_left", caller=connection.peer
+        )
+
     @property
     def open(self) -> int:
         """How many connections are open, including those being closed."""
--- a/wellhitch/server/daemon.py
+++ b/wellhitch/server/daemon.py
@@ -453,10 +453,18 @@
         """Handle a frame from a caller."""
         now = self.daemon.now()
         if isinstance(frame, frames.Call):
+            if self._caller_has_left(channel):
+                self.daemon.switch.counts["calls_ignored"] += 1
+                return
             self.daemon.switch.call_received(channel, frame, now)
         elif isinstance(frame, frames.HangUp):
             self.daemon.switch.caller_hung_up(channel, frame.id, now)
 
+    def _caller_has_left(self, channel: Channel) -> bool:
+        """Whether a caller has closed or reset its connection, behind what is still unread on it: its calls are given
+        up."""
+        return channel.transport is None or self.daemon.network.peer_has_ended(channel.transport)
+
     def channel_closed(self, channel: Channel, reason: str) -> None:
         """A caller's connection is closed."""
         self.daemon.switch.caller_disconnected(channel, self.daemon.now())
