Platform: a set-up that comes again waits for the release of its earlier dial

The decision module forgets a dialogue whose caller leaves, with its release wait and the time at which it may have run; the set-up that comes again was new to it.

Cancelled set-ups that had been dialled are now remembered for a time, and DialogueArrived has the earliest time of the next dial and when the call may have run; the decision module applies its own rules to both. A set-up that comes again before the end of its first connection is read cancels the first one instead of being refused.

--- a/wellhitch/interface/events.py
+++ b/wellhitch/interface/events.py
@@ -95,7 +95,9 @@
 @dataclass(frozen=True, slots=True)
 class DialogueArrived:
     """A caller or another exchange handed over a dialogue. It must get one final answer within `time_left`. The
-    operators' hooks set `value_factor`, by which the value of its traffic class is multiplied."""
+    operators' hooks set `value_factor`, by which the value of its traffic class is multiplied. A dialogue that was
+    dialled before, cancelled, and comes again has `not_before`, the earliest time of its next dial, and
+    `may_have_run_at`, when the first dial that may have run it was sent."""
 
     dialogue: int
     traffic_class: str
@@ -107,6 +109,8 @@
     is_redial: bool
     transit: bool
     value_factor: float = 1.0
+    not_before: int = 0
+    may_have_run_at: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/wellhitch/platform/caller_connection.py
+++ b/wellhitch/platform/caller_connection.py
@@ -233,7 +233,7 @@
         for message in messages:
             if self.closing_since is not None:
                 self._receive_while_closing(message)
-            elif _is_set_up(message) and self._caller_has_left():
+            elif _is_set_up(message) and self.has_left():
                 self.owner.set_up_ignored(self, message)
             elif (
                 isinstance(message, sip.Request)
@@ -245,7 +245,7 @@
             else:
                 self.owner.events.message_received(self, message)
 
-    def _caller_has_left(self) -> bool:
+    def has_left(self) -> bool:
         """Whether the caller has closed or reset the connection. What it sent before that may still be unread then, and
         its set-ups are given up."""
         if not self.caller_left:
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -13,6 +13,7 @@
 from wellhitch.interface import actions as act
 from wellhitch.interface import events as ev
 from wellhitch.office_lines import codec as lines
+from wellhitch.platform.cancelled_set_ups import CancelledSetUps, EarlierDials
 from wellhitch.platform.ended_dials import EndedDials, LineOwner, line_owner
 from wellhitch.platform.established import CAUSE_CUT, CAUSE_NORMAL, EstablishedCalls
 from wellhitch.platform.load_reports import EMPTY_REPORT, load_report
@@ -75,6 +76,7 @@
             (traffic_class.deadline for traffic_class in configuration.traffic_classes), default=0
         )
         self.ended_dials = EndedDials(longest_deadline_us + LATE_LINES_US)
+        self.cancelled_set_ups = CancelledSetUps(longest_deadline_us + LATE_LINES_US)
         self.established = EstablishedCalls(
             io,
             self.offices,
@@ -189,6 +191,9 @@
                 self.established.reported_by_caller(set_up.call_id, set_up.established_at, connection, now)
             return
         pending = self.pending_by_call_id.get(set_up.call_id)
+        if pending is not None and pending.connection != connection and self.io.has_left(pending.connection):
+            self._cancel(pending, "connection_lost", now)
+            pending = None
         if pending is not None and pending.connection == connection:
             # Answers are matched by Call-ID alone: an answer to the second set-up would be taken for one to the first,
             # which would then have two. Neither is served, and the connection is closed.
@@ -211,6 +216,7 @@
 
     def _accept(self, connection: Hashable, message: sip.Request, set_up: SetUp, now: int) -> None:
         self.releases.forget(set_up.call_id)
+        earlier_dials = self.cancelled_set_ups.take(set_up.call_id, now)
         self._last_dialogue += 1
         pending = PendingCall(
             self._last_dialogue,
@@ -242,6 +248,8 @@
                 advised_tandem=set_up.advised_tandem,
                 is_redial=set_up.is_redial,
                 transit=set_up.transit,
+                not_before=earlier_dials.not_before if earlier_dials else 0,
+                may_have_run_at=earlier_dials.may_have_run_at if earlier_dials else None,
             ),
             now,
         )
@@ -313,11 +321,24 @@
         )
         self._forget(pending)
         dial = pending.dial
+        self._remember_cancelled(pending, now)
         self.feed(ev.CallerLeft(pending.id), now)
         if dial is not None and dial.state is DialState.PENDING:
             self._end_dial(dial, now)
             self.office_list.release_if_unused(dial.office)
 
+    def _remember_cancelled(self, pending: PendingCall, now: int) -> None:
+        """Remember the dials of a set-up that is being cancelled: it may come again on another connection."""
+        dialogue = self.exchange.dialogues.get(pending.id)
+        if dialogue is None:
+            return
+        not_before, may_have_run_at = dialogue.not_before, dialogue.may_have_run_at
+        if pending.dial is not None and pending.dial.connection is not None:
+            not_before = now + self.configuration.release.release_wait
+            may_have_run_at = pending.dial.started_at if may_have_run_at is None else may_have_run_at
+        if not_before > now or may_have_run_at is not None:
+            self.cancelled_set_ups.add(pending.call_id, EarlierDials(not_before, may_have_run_at), now)
+
     def _send_failure(self, pending: PendingCall, status: int, answer: str, headers: str, now: int) -> None:
         """Send the one final answer of a set-up that is not established, and forget the set-up."""
         self.counts[f"answer.{answer}"] += 1
@@ -573,6 +594,8 @@
         self.feed(ev.DialogueEstablished(pending.id, dial.number, now - dial.started_at), now)
         if not sent:  # the caller's connection ended meanwhile, and nobody would know of the call
             self.established.released_by_caller(call, "its caller left before the answer", now)
+            earlier_dials = EarlierDials(now + self.configuration.release.release_wait, dial.started_at)
+            self.cancelled_set_ups.add(pending.call_id, earlier_dials, now)
         report = load_report(line)
         if report != EMPTY_REPORT:
             self.feed(ev.OfficeReported(office.id, False, True, report), now)
--- a/wellhitch/platform/server_io.py
+++ b/wellhitch/platform/server_io.py
@@ -13,6 +13,9 @@
     def send_to_caller(self, connection: Hashable, data: bytes) -> bool:
         """Write to a caller; False where the connection is closed or closing."""
 
+    def has_left(self, connection: Hashable) -> bool:
+        """Whether a caller has closed or reset its connection, also where that has not been read yet."""
+
     def close_caller_connection(self, connection: Hashable) -> None:
         """Close a caller's connection once its written data is sent; `Core.caller_closed` follows."""
 
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -266,6 +266,10 @@
         """See `ServerIO`."""
         return isinstance(connection, CallerConnection) and connection.write(data)
 
+    def has_left(self, connection: Hashable) -> bool:
+        """See `ServerIO`."""
+        return not isinstance(connection, CallerConnection) or connection.has_left()
+
     def close_caller_connection(self, connection: Hashable) -> None:
         """See `ServerIO`."""
         if isinstance(connection, CallerConnection):
--- a/wellhitch/rules.py
+++ b/wellhitch/rules.py
@@ -187,9 +187,13 @@
         transit=event.transit,
         random_draw=next_random(exchange),
         value_factor=event.value_factor,
+        not_before=event.not_before,
+        may_have_run_at=event.may_have_run_at,
     )
     exchange.dialogues[event.dialogue] = dialogue
     called_number.last_called_at = now
+    if dialogue.not_before >= dialogue.expires_at:
+        return final_answer(exchange, dialogue, now)
     return route_dialogue(exchange, dialogue, now)
 
 
