Platform: a new office's process at an old address is not taken for the old office

While the old office was still listed, both were dialled at one address; and a release that waited for a connection to the old one ended the same call at the new one.

A new office that is told at the address of another ends that one at once, and what waits for a connection to it is dropped. Calls that are cut with their office are released at the process that has its address now.

--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -197,6 +197,7 @@
     def office_restarted(self, office: OfficeRecord, now: int) -> None:
         """Discovery reports a new start of an office: calls from before it have ended."""
         earlier = [call for call in office.calls.values() if call.established_at < (office.started_at or 0)]
+        self._release_at_address(office, earlier, now)
         self._cut(office, earlier, "its endpoint started again", now)
 
     def connection_opened(self, office: OfficeRecord, connection: Hashable, now: int) -> None:
@@ -269,9 +270,41 @@
 
     def _cut_all(self, office: OfficeRecord, now: int) -> None:
         office.cut_timer = None
-        self._cut(office, list(office.calls.values()), "its endpoint is dead or gone", now)
+        calls = list(office.calls.values())
+        self._release_at_address(office, calls, now)
+        self._cut(office, calls, "its endpoint is dead or gone", now)
         self._on_unused(office)
 
+    def _release_at_address(self, office: OfficeRecord, calls: list[EstablishedCall], now: int) -> None:
+        """Release calls that are about to be cut at the process that now has their office's address, if a connection to
+        it is up. It may have them: discovery tells late that another one has taken the office's place, and calls were
+        set up there meanwhile."""
+        if self._io.is_connected(office):
+            for call in calls:
+                self._release_at_office(call, CAUSE_CUT, now)
+        successor = self._successor(office)
+        if successor is None:
+            return
+        for call in calls:
+            if call.call_id in successor.calls or call.call_id in successor.dials:
+                continue  # set up there again
+            successor.remember_released(call.call_id, CAUSE_CUT, now)
+            if not self._io.is_connected(office):
+                self._io.send_to_office(successor, lines.release(call.call_id, CAUSE_CUT), None)
+
+    def _successor(self, office: OfficeRecord) -> OfficeRecord | None:
+        """The office that has another one's address now."""
+        return next(
+            (
+                other
+                for other in self._offices.values()
+                if other is not office
+                and other.address == office.address
+                and other.state is not OfficeState.GONE
+            ),
+            None,
+        )
+
     def _cut(self, office: OfficeRecord, calls: list[EstablishedCall], why: str, now: int) -> None:
         if not calls:
             return
--- a/wellhitch/platform/office_list.py
+++ b/wellhitch/platform/office_list.py
@@ -79,8 +79,10 @@
     def _apply_update(self, update: Update, kind_if_full: ev.ListKind, now: int) -> None:
         """Update the office records and feed the office list to the decision module, a full list as of kind
         `kind_if_full`."""
+        taken = self._addresses_taken(update)
         # The record of an office that is gone is removed with its last call, maybe while its entry is applied.
         offices = [self._apply_entry(entry, now) for entry in update.entries]
+        offices += self._replaced(taken, {entry.id for entry in update.entries})
         if update.full:
             listed_ids = {entry.id for entry in update.entries}
             for office in self.offices.values():
@@ -91,6 +93,35 @@
         )
         self._feed(ev.OfficeListReceived(kind_if_full if update.full else ev.ListKind.CHANGES, entries), now)
 
+    def _addresses_taken(self, update: Update) -> dict[str, str]:
+        """The addresses at which an update tells a new office, or one that has moved, and its id."""
+        return {
+            entry.address: entry.id
+            for entry in update.entries
+            if OFFICE_STATES[entry.state] is ev.OfficeState.READY
+            and (entry.id not in self.offices or self.offices[entry.id].address != entry.address)
+        }
+
+    def _replaced(self, taken: dict[str, str], told_ids: set[str]) -> list[OfficeRecord]:
+        """Mark the offices as gone whose address another one has taken: discovery may tell of their end later. What
+        waits for a connection to them would reach the other one."""
+        replaced = []
+        for office in self.offices.values():
+            successor = self.offices.get(taken.get(office.address, ""))
+            if (
+                successor is None
+                or office.id in told_ids
+                or office.state is ev.OfficeState.GONE
+                or (office.started_at or 0) > (successor.started_at or office.started_at or 0)
+            ):
+                continue
+            self._io.log("office_replaced", office=office.id, by=successor.id, calls=len(office.calls))
+            office.state = ev.OfficeState.GONE
+            office.released.clear()
+            self._io.discard_queued(office)
+            replaced.append(office)
+        return replaced
+
     def _apply_entry(self, entry: DiscoveryEntry, now: int) -> OfficeRecord:
         state, started_at = OFFICE_STATES[entry.state], self._loop_time(entry.started_ms)
         office = self.offices.get(entry.id)
--- a/wellhitch/platform/server_io.py
+++ b/wellhitch/platform/server_io.py
@@ -26,6 +26,12 @@
     def withdraw_dial(self, dial: PendingDial) -> bool:
         """Forget a dial that has ended; True where its set-up still waited for a connection and was never sent."""
 
+    def is_connected(self, office: OfficeRecord) -> bool:
+        """Whether a connection to an office is up."""
+
+    def discard_queued(self, office: OfficeRecord) -> None:
+        """Drop the lines to an office that wait for a connection."""
+
     def is_open(self, connection: Hashable) -> bool:
         """Whether a connection to an office is open."""
 
--- a/wellhitch/platform/service.py
+++ b/wellhitch/platform/service.py
@@ -284,6 +284,17 @@
         pool = self.office_connections.pools.get(dial.office)
         return pool is not None and pool.withdraw_dial(dial)
 
+    def is_connected(self, office: OfficeRecord) -> bool:
+        """See `ServerIO`."""
+        pool = self.office_connections.pools.get(office)
+        return pool is not None and any(connection.writable for connection in pool.connected)
+
+    def discard_queued(self, office: OfficeRecord) -> None:
+        """See `ServerIO`."""
+        pool = self.office_connections.pools.get(office)
+        if pool is not None:
+            pool.queue.clear()
+
     def is_open(self, connection: Hashable) -> bool:
         """See `ServerIO`."""
         return isinstance(connection, OfficeConnection) and connection.transport is not None
