Platform: large set-ups to offices that hang cannot fill the memory

Pending set-ups were limited by number alone, and the buffers of connections to an office that does not read had no limit.

Pending set-ups now keep 8 MiB of what callers sent, twice that for callers with a small part; the limit on established calls shares its rule (call_limits.SharedLimit). No set-up is written behind 256 KiB that an office has not read. The pending set-ups have a module of their own, which takes them out of core.py.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,5 +1,5 @@
 """Usual clients beside clients that load a call server on purpose: a real process, a few seconds each. A longer run is
-started by hand: `python -m wellhitch.lab.crowd ATTACK CLIENTS SECONDS [SEED]`."""
+started by hand: `python -m wellhitch.lab.crowd ATTACK CLIENTS SECONDS`."""
 
 import asyncio
 
--- a/wellhitch/lab/crowd/attack.py
+++ b/wellhitch/lab/crowd/attack.py
@@ -13,6 +13,7 @@
 from enum import Enum
 
 SHORT_HEADERS = 56  # of one request; a call server accepts 64
+LARGE_HEADER_BYTES, LARGE_DESCRIPTION_BYTES = 7000, 4096
 SLOW_PIECE_BYTES, SLOW_PAUSE_S = 12, 0.02
 LARGE_BODY_BYTES = 15_000
 FLOOD_BATCH = 200  # requests in one write
@@ -26,6 +27,8 @@
     HALF = "half"  # write half of a large request, and wait
     HEADERS = "headers"  # requests with many short headers, each after the answer to the one before
     HEADERS_AT_ONCE = "headers_at_once"  # the same at full speed
+    LARGE = "large"  # set-ups of nearly the greatest size at full speed
+    UNREAD = "unread"  # requests at full speed, whose answers are never read
     SET_UPS = "set_ups"  # set-ups at full speed, each under a new id and to a new number
     OPTIONS = "options"
     BYES = "byes"  # releases of ever new calls that nobody has
@@ -49,6 +52,15 @@
     return request("INVITE", call_id, headers + extra_headers, b"v=0\r\n", f"{call_id:016x}@net")
 
 
+def large_set_up(call_id: int) -> bytes:
+    """A valid set-up with a long Via, which each answer repeats, and a long description, which is sent on."""
+    headers = (
+        f"Via: {'v' * LARGE_HEADER_BYTES}\r\n"
+        "X-Tier: voice\r\nX-Deadline: 3000\r\nX-Attrs: dest:1;width:1;via:-1\r\n"
+    )
+    return request("INVITE", call_id, headers, b"d" * LARGE_DESCRIPTION_BYTES, f"{call_id:016x}@net")
+
+
 def _method(number: int) -> str:
     """A method name that differs for each number."""
     letters = "ABCDEFGHIJKLMNOP"
@@ -121,6 +133,14 @@
             writer.write(request(_method(self._rng.getrandbits(48)), self.new_id()) + b"\0 noise\r\n\r\n")
             await reader.read()
 
+    async def unread(self) -> None:
+        """Write requests at full speed, and read nothing."""
+        async with self._connection() as (reader, writer):
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            while True:
+                writer.write(b"".join(request("OPTIONS", self.new_id()) for _ in range(FLOOD_BATCH)))
+                await writer.drain()
+
     async def _discard(self, reader: asyncio.StreamReader) -> None:
         while await reader.read(READ_BYTES):
             pass
@@ -143,6 +163,10 @@
             return crowd.half
         case Attack.HEADERS | Attack.HEADERS_AT_ONCE:
             return lambda: crowd.headers(attack is Attack.HEADERS_AT_ONCE)
+        case Attack.LARGE:
+            return lambda: crowd.flood(large_set_up)
+        case Attack.UNREAD:
+            return crowd.unread
         case Attack.SET_UPS:
             return lambda: crowd.flood(set_up)
         case Attack.OPTIONS:
--- a/wellhitch/lab/crowd/play.py
+++ b/wellhitch/lab/crowd/play.py
@@ -1,6 +1,6 @@
 """Plays one attack on a call server process, with usual clients beside it: their answers and the process's memory.
 
-python -m wellhitch.lab.crowd ATTACK CLIENTS SECONDS [SEED]
+python -m wellhitch.lab.crowd ATTACK CLIENTS SECONDS
 """
 
 import asyncio
@@ -32,6 +32,7 @@
 SET_UPS_BEFORE_ATTACK = 25
 WAIT_FOR_LAST_ANSWERS_S = 3.2
 KILL_AFTER_S = 5.0
+HANG_S = 3600.0
 CLOSE_S = 0.1  # until the stand-ins have closed their connections
 
 
@@ -64,8 +65,10 @@
 
 @dataclass
 class Office:
-    """An office that answers every set-up. `attempts` has how often each came, by Call-ID."""
+    """An office that answers every set-up, or reads nothing if it `hangs`. `attempts` has how often each set-up came,
+    by Call-ID."""
 
+    hangs: bool = False
     address: str = field(default_factory=allocate_loopback_address)
     attempts: Counter[str] = field(default_factory=Counter)
 
@@ -77,6 +80,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
         try:
+            if self.hangs:
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await asyncio.sleep(HANG_S)
             while line := await reader.readline():
                 message = json.loads(line)
                 if message["t"] == "new":
@@ -291,10 +297,10 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def started(cls, folder: Path) -> AsyncIterator["CallServerAndOffice"]:
-        """Start both and discovery, and stop them in the end. Raises TimeoutError where the process is not ready in
-        time."""
-        office, discovery = Office(), allocate_loopback_address()
+    async def started(cls, folder: Path, hangs: bool = False) -> AsyncIterator["CallServerAndOffice"]:
+        """Start both and discovery, and stop them in the end; the office `hangs`. Raises TimeoutError where the process
+        is not ready in time."""
+        office, discovery = Office(hangs=hangs), allocate_loopback_address()
         office_server = await office.start()
         host, _, port = discovery.rpartition(":")
         discovery_server = await asyncio.start_server(_heartbeats, host, int(port))
@@ -309,10 +315,10 @@
             await asyncio.sleep(CLOSE_S)
 
 
-async def play(attack: Attack, clients: int, seconds: float, seed: int) -> Outcome:
-    """Start a call server, load it for some seconds, and send it usual set-ups meanwhile."""
+async def play(attack: Attack, clients: int, seconds: float, seed: int, hangs: bool = False) -> Outcome:
+    """Start a call server, load it for some seconds, and send it usual set-ups meanwhile. Its office `hangs`."""
     with tempfile.TemporaryDirectory() as folder:
-        async with CallServerAndOffice.started(Path(folder)) as played:
+        async with CallServerAndOffice.started(Path(folder), hangs) as played:
             server = played.server
             usual = UsualClients(server.listen)
             await usual.run(SET_UPS_BEFORE_ATTACK)
--- a/wellhitch/platform/call_limits.py
+++ b/wellhitch/platform/call_limits.py
@@ -1,19 +1,29 @@
-"""How many established calls are accepted. Pure.
+"""How many established calls, and how many bytes of pending set-ups, are accepted. Pure.
 
-Each call is kept until it ends, and a client may set up calls that nobody ever ends. Above `MAX_CALLS` only callers
-with a small part of all calls may set up more, so that the others are served on when one client has used them up.
+Both are kept until they end, and clients may send large set-ups at full speed, or set up calls that nobody ever ends.
+Above a limit only callers with a small part of all may add more, so that the others are served on when a few clients
+have used it up; above twice the limit nobody may.
 """
 
-# More than one exchange ever has.
-MAX_CALLS = 8192
-# Including those of callers with a small part; they take some 50 MB.
-MAX_CALLS_IN_ALL = 2 * MAX_CALLS
+from dataclasses import dataclass
 
 
-def may_add_call(calls: int, calls_on_connection: int, connections: int) -> bool:
-    """Whether a caller may set up another call, whose connection has `calls_on_connection` of all `calls`, one of
-    `connections` that callers use."""
-    if calls < MAX_CALLS:
-        return True
-    has_small_part = 2 * calls_on_connection * connections < calls
-    return has_small_part and calls < MAX_CALLS_IN_ALL
+@dataclass(frozen=True, slots=True)
+class SharedLimit:
+    """A limit on what all callers' connections hold together."""
+
+    limit: int
+
+    def may_add(self, held: int, held_by_connection: int, connections: int) -> bool:
+        """Whether a connection that holds `held_by_connection` of all that is `held` may add more, where callers use
+        `connections`."""
+        if held < self.limit:
+            return True
+        has_small_part = 2 * held_by_connection * connections < held
+        return has_small_part and held < 2 * self.limit
+
+
+# More established calls than one exchange ever has; twice as many take some 50 MB.
+CALLS = SharedLimit(8192)
+# Header lines and descriptions of pending set-ups: 300 bytes of a usual one, up to 16 KiB.
+PENDING_BYTES = SharedLimit(8 * 1024 * 1024)
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -18,6 +18,7 @@
 from wellhitch.platform.established import CAUSE_CUT, CAUSE_NORMAL, EstablishedCalls
 from wellhitch.platform.load_reports import EMPTY_REPORT, load_report
 from wellhitch.platform.office_list import EARLIEST_START_US, OfficeList
+from wellhitch.platform.pending_calls import PendingCalls
 from wellhitch.platform.records import DialState, EstablishedCall, OfficeRecord, PendingCall, PendingDial
 from wellhitch.platform.server_io import ServerIO
 from wellhitch.platform.set_up_request import SetUp, is_call_id, read_call_id, read_set_up
@@ -60,9 +61,10 @@
         self.counts: Counter[str] = Counter()
         self.runner = Runner(self, io.start_timer, io.log, self.counts)
         self.exchange = self.runner.exchange
-        self.pending_calls: dict[int, PendingCall] = {}
-        self.pending_by_call_id: dict[str, PendingCall] = {}
-        self.pending_by_connection: dict[Hashable, dict[str, PendingCall]] = {}
+        self.pending = PendingCalls()
+        self.pending_calls = self.pending.by_id
+        self.pending_by_call_id = self.pending.by_call_id
+        self.pending_by_connection = self.pending.by_connection
         self.office_list = OfficeList(
             self.number,
             configuration.permissions.may_probe,
@@ -210,6 +212,8 @@
             self._reject_request(connection, message, "max_open", 503)
         elif not self.established.may_add(connection):
             self._reject_request(connection, message, "calls_on_link", 503)
+        elif not self.pending.may_add(connection, len(self.releases.connections)):
+            self._reject_request(connection, message, "bytes_on_link", 503)
         else:
             self.releases.connection_used(connection, now)
             self._accept(connection, message, set_up, now)
@@ -229,8 +233,7 @@
             set_up.destination,
             set_up.transit,
         )
-        self.pending_calls[pending.id] = self.pending_by_call_id[pending.call_id] = pending
-        self.pending_by_connection.setdefault(connection, {})[pending.call_id] = pending
+        self.pending.add(pending)
         self.counts["taken"] += 1
         # Bounds the time left: an answer after the traffic class's deadline has no value.
         time_left = min(
@@ -297,7 +300,6 @@
         """Cancel the pending set-ups of a caller's connection that is gone. Established calls are not tied to it."""
         for pending in list(self.pending_by_connection.get(connection, {}).values()):
             self._cancel(pending, "connection_lost", now)
-        self.pending_by_connection.pop(connection, None)
         self.established.caller_connection_closed(connection)
         self.releases.connection_closed(connection, now)
 
@@ -319,7 +321,7 @@
             attempts=pending.dial_count,
             caller=str(pending.connection),
         )
-        self._forget(pending)
+        self.pending.remove(pending)
         dial = pending.dial
         self._remember_cancelled(pending, now)
         self.feed(ev.CallerLeft(pending.id), now)
@@ -342,7 +344,7 @@
     def _send_failure(self, pending: PendingCall, status: int, answer: str, headers: str, now: int) -> None:
         """Send the one final answer of a set-up that is not established, and forget the set-up."""
         self.counts[f"answer.{answer}"] += 1
-        self._forget(pending)
+        self.pending.remove(pending)
         sent = self.io.send_to_caller(
             pending.connection, sip.response(status, pending.echo, extra_headers=headers)
         )
@@ -358,15 +360,6 @@
         if pending.dial is not None:  # a dial is pending only after a fault in the decision module
             self._end_dial(pending.dial, now)
 
-    def _forget(self, pending: PendingCall) -> None:
-        self.pending_calls.pop(pending.id, None)
-        self.pending_by_call_id.pop(pending.call_id, None)
-        on_connection = self.pending_by_connection.get(pending.connection)
-        if on_connection is not None:
-            on_connection.pop(pending.call_id, None)
-            if not on_connection:
-                del self.pending_by_connection[pending.connection]
-
     # ---- dials ----
 
     def _dial(self, dialogue: int, office_id: str, timeout: int, now: int) -> None:
@@ -568,7 +561,7 @@
             return
         pending = dial.call
         self._forget_dial(dial)
-        self._forget(pending)
+        self.pending.remove(pending)
         call = EstablishedCall(
             pending.call_id,
             office,
--- a/wellhitch/platform/established.py
+++ b/wellhitch/platform/established.py
@@ -11,7 +11,7 @@
 from wellhitch.interface.events import DialResult, OfficeReport, OfficeState
 from wellhitch.net.transport import Timer
 from wellhitch.office_lines import codec as lines
-from wellhitch.platform.call_limits import may_add_call
+from wellhitch.platform import call_limits
 from wellhitch.platform.ended_dials import EndedDials
 from wellhitch.platform.liveness import CallsLost, LivenessTest
 from wellhitch.platform.records import (
@@ -85,7 +85,9 @@
 
     def may_add(self, connection: Hashable) -> bool:
         """Whether a caller may set up another call on its connection."""
-        return may_add_call(len(self.calls), self.on_connection(connection), len(self.releases.connections))
+        return call_limits.CALLS.may_add(
+            len(self.calls), self.on_connection(connection), len(self.releases.connections)
+        )
 
     def add(self, call: EstablishedCall, connection: Hashable) -> None:
         """Add a call that was answered on an office's connection."""
--- a/wellhitch/platform/offices.py
+++ b/wellhitch/platform/offices.py
@@ -19,6 +19,8 @@
 PARTIAL_LINE_S = 0.25
 # The same without unanswered dials: a slow writer may finish its line, which may be the release of a call.
 PARTIAL_LINE_IDLE_S = 1.0
+# Written to an office that does not read, on one connection: some eight hundred usual set-ups.
+MAX_UNSENT_BYTES = 256 * 1024
 RETRY_DELAY_S = 0.1  # doubles with each failure
 # Reconnects soon after an office restarts, and costs one attempt a second if it does not.
 MAX_RETRY_DELAY_S = 1.0
@@ -105,6 +107,15 @@
         """Whether written data may arrive; asyncio reports a lost connection only one turn after it is closing."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def may_carry_dial(self) -> bool:
+        """Whether a set-up may be written; not if the office has left too much unread."""
+        return (
+            self.transport is not None
+            and not self.transport.is_closing()
+            and self.transport.get_write_buffer_size() < MAX_UNSENT_BYTES
+        )
+
     def write(self, line: bytes) -> None:
         """Write unless the connection is closed or closing."""
         if self.transport is not None and not self.transport.is_closing():
@@ -191,13 +202,14 @@
         usable = (
             connection
             for connection in self.connected
-            if connection.writable and connection not in dial.earlier_connections
+            if connection.may_carry_dial and connection not in dial.earlier_connections
         )
         return min(usable, key=lambda connection: len(connection.dials), default=None)
 
     def _may_open_for(self, dial: PendingDial) -> bool:
         """Whether a connection may be opened for a dial that no open one can carry."""
-        return not dial.earlier_connections or len(self.connected) < self.owner.max_per_office
+        in_use = sum(connection.writable for connection in self.connected)
+        return in_use == 0 or in_use < self.owner.max_per_office
 
     def _write(self, connection: OfficeConnection, dial: PendingDial, line: bytes) -> None:
         dial.connection = connection
--- a/wellhitch/platform/records.py
+++ b/wellhitch/platform/records.py
@@ -91,6 +91,11 @@
     # Those that this server ended, in addition to `EndedDials`, which may have forgotten them.
     ended_dials: list[PendingDial] = field(default_factory=list)
 
+    @property
+    def size_bytes(self) -> int:
+        """How much of what its caller sent is kept until the answer."""
+        return len(self.echo) + len(self.description)
+
 
 @dataclass(slots=True, eq=False)
 class PendingDial:
