--- a/wellhitch/lab/crowd/leaving.py
+++ b/wellhitch/lab/crowd/leaving.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import signal
 import socket
 import struct
 import sys
@@ -42,11 +41,11 @@
         async with CallServerAndOffice.started(Path(folder)) as played:
             usual = UsualClients(played.server.listen)
             await usual.run(1)
-            played.server.process.send_signal(signal.SIGSTOP)
+            played.server.pause()
             leave(played.server.listen, set_ups, by_reset)
             again = UsualClients(played.server.listen)
             await again.send(FIRST_ID)
-            played.server.process.send_signal(signal.SIGCONT)
+            played.server.resume()
             await asyncio.sleep(SETTLE_S)
             attempts = played.office.attempts
             usual.close()
--- a/wellhitch/lab/crowd/play.py
+++ b/wellhitch/lab/crowd/play.py
@@ -6,7 +6,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import subprocess
 import sys
 import tempfile
@@ -19,11 +18,14 @@
 
 from wellhitch.lab.crowd.attack import Attack, set_up
 from wellhitch.lab.loopback import allocate_loopback_address
+from wellhitch.lab.trials.process import CallServer
+from wellhitch.lab.trials.records import Records
 
 OFFICE_ID = "s-00000001"
 OFFICE_ANSWERS_AFTER_S = 0.02
 MEMORY_LIMIT_MB = 192
 MAX_DESCRIPTORS = 1024
+SERVER_SEED = 0x8C1F30D27A5BE964
 READY_S = 30.0
 DEADLINE_MS = 3000
 TARGET_LATENCY_S = 1.5
@@ -193,34 +195,13 @@
 
     def __init__(self, folder: Path, office: Office, discovery: str) -> None:
         self.listen = allocate_loopback_address()
-        path = folder / "configuration.json"
-        path.write_text(json.dumps(self._configuration(office, discovery)))
-        self.log_path = folder / "server.log"
-        environment = os.environ | {"LB_NAME": "n0", "LB_LISTEN": self.listen, "LB_CONFIG": str(path)}
-        with self.log_path.open("wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-B", "-m", "wellhitch", "platform"],
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    def _configuration(self, office: Office, discovery: str) -> dict[str, Any]:
-        entry = {"id": OFFICE_ID, "addr": office.address, "zone": "east", "kind": "std", "cell": 1}
-        listed = entry | {"state": "up", "weight": 1, "started_ms": 0}
-        return {
-            "name": "n0",
-            "listen": self.listen,
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": MAX_DESCRIPTORS},
-            "board": discovery,
-            "known": {
-                "rev": 1,
-                "notices": [{"rev": 1, "pool": {"version": 1, "full": True, "servers": [listed]}}],
-            },
-            "settings": settings(),
-        }
+        self._server = CallServer(
+            "n0", 0, self.listen, folder, Records(), settings(), MAX_DESCRIPTORS, MEMORY_LIMIT_MB
+        )
+        path = self._server.write_configuration(discovery, _known_updates(office), SERVER_SEED)
+        self._server.start(path, 0.0)
+        assert self._server.process is not None
+        self.process = self._server.process
 
     async def ready(self) -> None:
         """Wait until the process listens. Raises TimeoutError."""
@@ -238,7 +219,7 @@
     @property
     def running(self) -> bool:
         """Whether the process is alive."""
-        return self.process.poll() is None
+        return self._server.running
 
     def peak_memory_mb(self) -> float:
         """The most memory that was resident."""
@@ -247,14 +228,36 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    def pause(self) -> None:
+        """Stop the process for a time."""
+        self._server.pause()
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        self._server.resume()
+
     def stop(self) -> None:
         """End the process."""
-        self.process.terminate()
+        self._server.terminate(0.0)
         try:
             self.process.wait(KILL_AFTER_S)
         except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
+            self._server.kill(0.0)
+
+
+def _known_updates(office: Office) -> dict[str, object]:
+    """The first update of discovery, which lists one office."""
+    entry = {
+        "id": OFFICE_ID,
+        "addr": office.address,
+        "zone": "east",
+        "kind": "std",
+        "cell": 1,
+        "state": "up",
+        "weight": 1,
+        "started_ms": 0,
+    }
+    return {"rev": 1, "notices": [{"rev": 1, "pool": {"version": 1, "full": True, "servers": [entry]}}]}
 
 
 async def _heartbeats(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -206,18 +206,24 @@
             self.io.close_caller_connection(connection)
         elif pending is not None or set_up.call_id in self.calls:
             self._reject_request(connection, message, "id_in_use")
-        elif self.draining:
-            self._reject_request(connection, message, "draining", 503)
-        elif len(self.pending_calls) >= self.max_open:
-            self._reject_request(connection, message, "max_open", 503)
-        elif not self.established.may_add(connection):
-            self._reject_request(connection, message, "calls_on_link", 503)
-        elif not self.pending.may_add(connection, len(self.releases.connections)):
-            self._reject_request(connection, message, "bytes_on_link", 503)
+        elif limit := self._limit_reached(connection):
+            self._reject_request(connection, message, limit, 503)
         else:
             self.releases.connection_used(connection, now)
             self._accept(connection, message, set_up, now)
 
+    def _limit_reached(self, connection: Hashable) -> str:
+        """Why no set-up is accepted on a connection at present; empty if one is."""
+        if self.draining:
+            return "draining"
+        if len(self.pending_calls) >= self.max_open:
+            return "max_open"
+        if not self.established.may_add(connection):
+            return "calls_on_link"
+        if not self.pending.may_add(connection, len(self.releases.connections)):
+            return "bytes_on_link"
+        return ""
+
     def _accept(self, connection: Hashable, message: sip.Request, set_up: SetUp, now: int) -> None:
         self.releases.forget(set_up.call_id)
         earlier_dials = self.cancelled_set_ups.take(set_up.call_id, now)
