--- a/tests/test_cancelled_set_ups.py
+++ b/tests/test_cancelled_set_ups.py
@@ -60,6 +60,24 @@
     assert again.statuses(A) == [200] and len(times_at_office(world, "new")) == 2
 
 
+def test_call_that_is_answered_as_its_caller_leaves_is_released() -> None:
+    # Guards against a call of which nobody knows: the end of its caller's connection had arrived and was not read yet.
+    world = World()
+    office, caller = world.offices[1], world.caller()
+    office.answers = False
+    caller.send(invite(A))
+    assert world.run_until(1, lambda: A in office.connection_by_call_id)
+    [connection] = world.core.pending_by_connection
+    connection.transport.pause_reading()  # type: ignore[attr-defined]
+    caller.send(bodyless_request("OPTIONS", B))
+    world.run(0.01)
+    caller.close()
+    world.run(0.01)
+    office.answer(A)
+    world.run(0.05)
+    assert not world.core.calls and len(times_at_office(world, "down")) == 1
+
+
 def test_set_up_that_must_not_run_twice_fails_when_it_comes_again() -> None:
     # Guards against running a call twice whose class does not allow it, as its first dial may have run it.
     classes = tuple(replace(traffic_class, repeatable=False) for traffic_class in TRAFFIC_CLASSES)
--- a/wellhitch/platform/core.py
+++ b/wellhitch/platform/core.py
@@ -580,7 +580,9 @@
         )
         self.established.add(call, connection)
         self.counts["answer.stands"] += 1
-        sent = self.io.send_to_caller(pending.connection, sip.response(200, pending.echo, body))
+        sent = not self.io.has_left(pending.connection) and self.io.send_to_caller(
+            pending.connection, sip.response(200, pending.echo, body)
+        )
         self.io.log(
             "call_established",
             call=pending.call_id,
