Platform: an office that moves is not reached at its former address any more

The connections were closed before the new address was stored; the release of a dial that was lost with them made a new pool of connections with the old address, which every later dial used. The address is stored first now.

The new test fails before.

--- a/tests/test_replaced_offices.py
+++ b/tests/test_replaced_offices.py
@@ -123,3 +123,21 @@
     world.discovery.publish(row(1, READY, started_ms=started_ms))
     world.run(1)
     assert len(caller.byes(A)) == 1 and A in released_at_office(world)
+
+
+def test_dial_that_is_open_as_its_office_moves_leaves_no_connection_to_the_old_address() -> None:
+    # Guards against calls that go to whoever has the old address, for good: the release of the lost dial opened a
+    # connection there, which was kept as the office's own.
+    world = World()
+    world.offices[1].answers = False
+    caller = world.caller()
+    caller.send(invite(A))
+    assert world.run_until(1, lambda: bool(world.offices[1].lines_of_type("new")))
+    moved = world.office(3)
+    world.discovery.publish(row(1, host="10.1.0.3"))
+    world.run(1)
+    pool = world.service.office_connections.pools[world.core.offices[OLD]]
+    assert pool.address == "10.1.0.3:2905" and not world.net.connections("10.0.0.1", "10.1.0.1")
+    world.establish(B)
+    assert [line.call_id for line in moved.lines_of_type("new")][-1] == B
+    assert B not in [line.call_id for line in world.offices[1].lines_of_type("new")]
--- a/wellhitch/platform/office_list.py
+++ b/wellhitch/platform/office_list.py
@@ -143,8 +143,9 @@
         if restarted:
             self.calls.office_restarted(office, now)
         if office.address != entry.address:
-            self._io.drop_connections(office, True)
+            # Set first: what is lost with the connections is sent again at the new address.
             office.address = entry.address
+            self._io.drop_connections(office, True)
             if office.calls:
                 self._io.keep_connection(office)
         return office
