--- a/wellhitch/lab/crowd/play.py
+++ b/wellhitch/lab/crowd/play.py
@@ -9,7 +9,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -149,7 +148,7 @@
     async def send(self, call_id: int) -> None:
         """Send one set-up."""
         writer = await self._writer(self.answers.sent % USUAL_CONNECTIONS)
-        self._sent_at[f"{call_id:016x}"] = time.monotonic()
+        self._sent_at[f"{call_id:016x}"] = asyncio.get_running_loop().time()
         self.answers.sent += 1
         writer.write(set_up(call_id, deadline_ms=DEADLINE_MS))
 
@@ -182,7 +181,7 @@
         sent_at = self._sent_at.pop(call_id, None)
         if status < 200 or sent_at is None:
             return
-        self.answers.latencies.append(time.monotonic() - sent_at)
+        self.answers.latencies.append(asyncio.get_running_loop().time() - sent_at)
         self.answers.statuses[status] = self.answers.statuses.get(status, 0) + 1
         if status == 200:
             writer.write(
